--- /dev/null
+++ b/crates/ibisroute/src/catalogue/mod.rs
@@ -0,0 +1,3 @@
+//! The catalogue: what operators edit. Parsing, validation, difference, delta and digest.
+
+pub mod model;
--- /dev/null
+++ b/crates/ibisroute/src/claims/mod.rs
@@ -0,0 +1,1 @@
+//! At-most-once claims for requests that may not be repeated.
--- /dev/null
+++ b/crates/ibisroute/src/events/mod.rs
@@ -0,0 +1,1 @@
+//! Numbered log events.
--- /dev/null
+++ b/crates/ibisroute/src/lib.rs
@@ -0,0 +1,24 @@
+//! Configuration distribution and traffic routing for a service mesh.
+//!
+//! A node ([`node`]) runs beside each target. It serves callers, carries their calls to the node
+//! beside a chosen target, and takes part in distributing the catalogue. `docs/design.md` describes
+//! the modules and who owns which state.
+
+pub mod catalogue;
+pub mod claims;
+pub mod ctl;
+pub mod distribution;
+pub mod events;
+pub mod membership;
+pub mod moves;
+pub mod node;
+pub mod peers;
+pub mod platform;
+pub mod report;
+pub mod settings;
+pub mod snapshot;
+pub mod telemetry;
+pub mod traffic;
+pub mod types;
+pub mod uploads;
+pub mod wire;
--- /dev/null
+++ b/crates/ibisroute/src/membership/mod.rs
@@ -0,0 +1,3 @@
+//! Membership: which nodes and targets exist, and where.
+
+pub mod record;
--- /dev/null
+++ b/crates/ibisroute/src/node/mod.rs
@@ -0,0 +1,4 @@
+//! One node: wires the modules into a process.
+
+pub mod handle;
+pub mod messages;
--- /dev/null
+++ b/crates/ibisroute/src/report/mod.rs
@@ -0,0 +1,1 @@
+//! Service-level burn report.
--- /dev/null
+++ b/crates/ibisroute/src/telemetry.rs
@@ -0,0 +1,156 @@
+//! Counts of call outcomes and latencies, shared by the burn report and by the evidence of moves.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::types::EntryName;
+use crate::types::Millis;
+use crate::types::VersionName;
+
+/// Number of latency buckets.
+pub const LATENCY_BUCKETS: usize = 40;
+
+/// Upper bound of the first bucket, in microseconds; each further bound is larger by the square
+/// root of two, so that the last one is about 180 s.
+const FIRST_BOUND_MICROS: f64 = 250.0;
+
+/// Latency histogram with fixed logarithmic buckets, so that histograms of different nodes merge.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LatencyHistogram {
+    /// Calls in each bucket; always [`LATENCY_BUCKETS`] long.
+    buckets: Vec<u64>,
+}
+
+impl Default for LatencyHistogram {
+    fn default() -> Self {
+        Self { buckets: vec![0; LATENCY_BUCKETS] }
+    }
+}
+
+impl LatencyHistogram {
+    /// Upper bound of bucket `index`, in microseconds.
+    pub fn bound_micros(index: usize) -> f64 {
+        FIRST_BOUND_MICROS * std::f64::consts::SQRT_2.powi(i32::try_from(index).unwrap_or(i32::MAX))
+    }
+
+    /// Builds a histogram from bucket counts, as received from a peer.
+    ///
+    /// Returns `None` when the number of buckets differs from [`LATENCY_BUCKETS`].
+    pub fn from_buckets(buckets: Vec<u64>) -> Option<Self> {
+        (buckets.len() == LATENCY_BUCKETS).then_some(Self { buckets })
+    }
+
+    /// Calls in each bucket.
+    pub fn buckets(&self) -> &[u64] {
+        &self.buckets
+    }
+
+    /// Counts one call of `micros` microseconds.
+    pub fn record(&mut self, micros: u64) {
+        let bucket = (0..LATENCY_BUCKETS - 1)
+            .find(|i| micros as f64 <= Self::bound_micros(*i))
+            .unwrap_or(LATENCY_BUCKETS - 1);
+        self.buckets[bucket] += 1;
+    }
+
+    /// Number of calls counted.
+    pub fn count(&self) -> u64 {
+        self.buckets.iter().sum()
+    }
+
+    /// Adds the counts of `other`.
+    pub fn add(&mut self, other: &Self) {
+        self.buckets.iter_mut().zip(&other.buckets).for_each(|(a, b)| *a += b);
+    }
+
+    /// Keeps the larger count of each bucket: the merge of two reports of the same cumulative
+    /// counter.
+    pub fn merge_max(&mut self, other: &Self) {
+        self.buckets.iter_mut().zip(&other.buckets).for_each(|(a, b)| *a = (*a).max(*b));
+    }
+
+    /// Calls slower than `limit`, judged by bucket bounds.
+    pub fn slower_than(&self, limit: Millis) -> u64 {
+        let limit = limit.0 as f64 * 1000.0;
+        self.buckets
+            .iter()
+            .enumerate()
+            .filter(|(i, _)| Self::bound_micros(*i) > limit)
+            .map(|(_, n)| n)
+            .sum()
+    }
+
+    /// Upper bound of the bucket that holds quantile `q` (0.0 to 1.0), in microseconds; `None` when
+    /// nothing was counted.
+    pub fn quantile_micros(&self, q: f64) -> Option<f64> {
+        let total = self.count();
+        if total == 0 {
+            return None;
+        }
+        let rank = (q * total as f64).ceil().max(1.0) as u64;
+        let mut seen = 0;
+        let index = self.buckets.iter().position(|n| {
+            seen += n;
+            seen >= rank
+        });
+        index.map(Self::bound_micros)
+    }
+}
+
+/// Outcomes of the calls of one entry to one target version.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutcomeCounts {
+    /// Calls that ended in any way.
+    pub calls: u64,
+    /// Calls that failed because of the target: 5xx, reset, or no whole answer in time.
+    pub failures: u64,
+    /// Calls refused as "not run" before they reached a target.
+    pub refused: u64,
+    /// Attempts beyond the first.
+    pub retries: u64,
+    /// Latency of the calls that reached a target, seen by the choosing node.
+    pub latency: LatencyHistogram,
+}
+
+impl OutcomeCounts {
+    /// Adds the counts of `other`.
+    pub fn add(&mut self, other: &Self) {
+        self.calls += other.calls;
+        self.failures += other.failures;
+        self.refused += other.refused;
+        self.retries += other.retries;
+        self.latency.add(&other.latency);
+    }
+
+    /// Keeps the larger of each counter: the merge of two reports of the same cumulative counters.
+    pub fn merge_max(&mut self, other: &Self) {
+        self.calls = self.calls.max(other.calls);
+        self.failures = self.failures.max(other.failures);
+        self.refused = self.refused.max(other.refused);
+        self.retries = self.retries.max(other.retries);
+        self.latency.merge_max(&other.latency);
+    }
+}
+
+/// What one traffic thread counted since its last report.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TrafficCounts {
+    /// Counts by entry and target version. Calls refused before a version was chosen have none.
+    pub outcomes: BTreeMap<(EntryName, Option<VersionName>), OutcomeCounts>,
+}
+
+impl TrafficCounts {
+    /// The counts of one entry and version, created when absent.
+    pub fn of(&mut self, entry: &EntryName, version: Option<&VersionName>) -> &mut OutcomeCounts {
+        self.outcomes.entry((entry.clone(), version.cloned())).or_default()
+    }
+
+    /// Adds the counts of `other`.
+    pub fn add(&mut self, other: &Self) {
+        for (key, counts) in &other.outcomes {
+            self.outcomes.entry(key.clone()).or_default().add(counts);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/src/traffic/mod.rs
@@ -0,0 +1,1 @@
+//! Calls: listener, routing, admission, retries and dispatch to targets.
--- /dev/null
+++ b/crates/ibisroute/src/types.rs
@@ -0,0 +1,357 @@
+//! Identifiers, sizes, rates and points in time.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use derive_more::Display;
+use derive_more::From;
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest as _;
+use sha2::Sha256;
+use smol_str::SmolStr;
+
+/// Longest name that the catalogue and the settings accept, in bytes.
+pub const MAX_NAME_BYTES: usize = 63;
+
+/// A text that is not a valid name, id, digest or number of the expected kind.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+#[display("{value:?} is not a valid {kind}: expected {expected}")]
+pub struct ParseError {
+    /// What was expected, for example `service name`.
+    pub kind: &'static str,
+    /// The text as given.
+    pub value: String,
+    /// What is allowed, in words.
+    pub expected: &'static str,
+}
+
+impl std::error::Error for ParseError {}
+
+fn is_name(s: &str) -> bool {
+    let mut chars = s.chars();
+    s.len() <= MAX_NAME_BYTES
+        && chars.next().is_some_and(|c| c.is_ascii_lowercase())
+        && chars.all(|c| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-')
+}
+
+macro_rules! name_type {
+    ($(#[$meta:meta])* $name:ident, $kind:literal) => {
+        $(#[$meta])*
+        #[derive(
+            Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+        )]
+        #[serde(try_from = "SmolStr", into = "SmolStr")]
+        pub struct $name(SmolStr);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseError;
+
+            fn from_str(s: &str) -> Result<Self, ParseError> {
+                Self::try_from(SmolStr::new(s))
+            }
+        }
+
+        impl TryFrom<SmolStr> for $name {
+            type Error = ParseError;
+
+            fn try_from(s: SmolStr) -> Result<Self, ParseError> {
+                if is_name(&s) {
+                    return Ok(Self(s));
+                }
+                Err(ParseError {
+                    kind: $kind,
+                    value: s.to_string(),
+                    expected: "1 to 63 of a-z, 0-9 and '-', starting with a letter",
+                })
+            }
+        }
+
+        impl From<$name> for SmolStr {
+            fn from(name: $name) -> Self {
+                name.0
+            }
+        }
+    };
+}
+
+name_type!(
+    /// Name of a service, unique in the catalogue.
+    ServiceName, "service name"
+);
+name_type!(
+    /// Name of a target version of a service.
+    VersionName, "version name"
+);
+name_type!(
+    /// Name of a catalogue entry (a route), unique in the catalogue.
+    EntryName, "entry name"
+);
+name_type!(
+    /// Identity of a move; never used twice, because its outcome row is written once.
+    MoveId, "move id"
+);
+name_type!(
+    /// Identity of a node: the name of its host.
+    NodeId, "node id"
+);
+name_type!(
+    /// Identity of one run of a target process, chosen by the target.
+    InstanceId, "instance id"
+);
+name_type!(
+    /// Name of a data centre.
+    DataCentre, "data centre"
+);
+name_type!(
+    /// Name of a region, a group of data centres.
+    Region, "region"
+);
+
+/// Version of the configuration in force; rises by one with each accepted change. Zero: none yet.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    From,
+    Serialize,
+    Deserialize,
+    derive_more::FromStr,
+)]
+pub struct ConfigVersion(pub u64);
+
+impl ConfigVersion {
+    /// The version that follows this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+/// SHA-256 of an object's bytes; displayed as 64 hexadecimal digits.
+#[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "SmolStr", into = "SmolStr")]
+pub struct Digest(pub [u8; 32]);
+
+impl Digest {
+    /// Digest of `bytes`.
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(Sha256::digest(bytes).into())
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|b| write!(f, "{b:02x}"))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Digest({self})")
+    }
+}
+
+impl FromStr for Digest {
+    type Err = ParseError;
+
+    fn from_str(s: &str) -> Result<Self, ParseError> {
+        let error = || ParseError {
+            kind: "digest",
+            value: s.chars().take(80).collect(),
+            expected: "64 hexadecimal digits",
+        };
+        if s.len() != 64 || !s.is_ascii() {
+            return Err(error());
+        }
+        let mut bytes = [0; 32];
+        for (i, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&s[2 * i..2 * i + 2], 16).map_err(|_| error())?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
+impl TryFrom<SmolStr> for Digest {
+    type Error = ParseError;
+
+    fn try_from(s: SmolStr) -> Result<Self, ParseError> {
+        s.parse()
+    }
+}
+
+impl From<Digest> for SmolStr {
+    fn from(digest: Digest) -> Self {
+        SmolStr::new(digest.to_string())
+    }
+}
+
+/// The head of the configuration: the highest accepted version and the digest of its bytes.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Head {
+    /// Accepted version.
+    pub version: ConfigVersion,
+    /// Digest of the canonical catalogue bytes.
+    pub digest: Digest,
+}
+
+/// Identity of one call, carried along every hop; 128 random bits unless the caller sets it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
+pub struct RequestId(pub SmolStr);
+
+impl RequestId {
+    /// Formats 128 random bits as an id.
+    pub fn from_bits(bits: u128) -> Self {
+        Self(SmolStr::new(format!("{bits:032x}")))
+    }
+}
+
+/// A point on the process's monotonic clock, or a span of time, in milliseconds.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    From,
+    Serialize,
+    Deserialize,
+    derive_more::Add,
+    derive_more::Sum,
+    derive_more::FromStr,
+)]
+#[display("{_0} ms")]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// The span from `earlier` to this point; zero when `earlier` is later.
+    pub fn since(self, earlier: Self) -> Self {
+        Self(self.0.saturating_sub(earlier.0))
+    }
+
+    /// The same span for the timers of the runtime.
+    pub fn to_duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl From<Duration> for Millis {
+    fn from(d: Duration) -> Self {
+        Self(u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
+/// Wall-clock time in milliseconds since the Unix epoch.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    From,
+    Serialize,
+    Deserialize,
+    derive_more::FromStr,
+)]
+pub struct UnixMillis(pub u64);
+
+impl UnixMillis {
+    /// Reads the wall clock. Only drivers call this; decisions get the time passed in.
+    pub fn now() -> Self {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self(Millis::from(since).0)
+    }
+
+    /// The span from `earlier` to this time; zero when `earlier` is later.
+    pub fn since(self, earlier: Self) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+/// A share in percent, 0 to 100.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    PartialOrd,
+    Display,
+    From,
+    Serialize,
+    Deserialize,
+    derive_more::FromStr,
+)]
+#[display("{_0}%")]
+pub struct Percent(pub f64);
+
+impl Percent {
+    /// The share as a fraction, 0.0 to 1.0.
+    pub fn fraction(self) -> f64 {
+        self.0 / 100.0
+    }
+}
+
+/// A size in bytes.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Display,
+    From,
+    Serialize,
+    Deserialize,
+    derive_more::FromStr,
+)]
+#[display("{_0} B")]
+pub struct ByteSize(pub u64);
+
+/// Events per second.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    PartialOrd,
+    Display,
+    From,
+    Serialize,
+    Deserialize,
+    derive_more::FromStr,
+)]
+#[display("{_0}/s")]
+pub struct RatePerSecond(pub f64);
--- /dev/null
+++ b/crates/ibisroute/src/uploads/mod.rs
@@ -0,0 +1,1 @@
+//! Durable acceptance of uploads that no target can take.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
