--- /dev/null
+++ b/crates/ibisroute/src/events/distribution.rs
@@ -0,0 +1,6 @@
+//! Event codes of `distribution`.
+
+use super::EventCode;
+
+/// Codes in the order of their numbers.
+pub const CODES: &[EventCode] = &[];
--- /dev/null
+++ b/crates/ibisroute/src/events/uploads.rs
@@ -0,0 +1,6 @@
+//! Event codes of `uploads`.
+
+use super::EventCode;
+
+/// Codes in the order of their numbers.
+pub const CODES: &[EventCode] = &[];
