--- a/crates/ibisroute/src/events/mod.rs
+++ b/crates/ibisroute/src/events/mod.rs
@@ -9,6 +9,7 @@
 pub mod membership;
 pub mod moves;
 pub mod node;
+pub mod page;
 pub mod platform;
 pub mod report;
 pub mod traffic;
--- /dev/null
+++ b/crates/ibisroute/src/events/page.rs
@@ -0,0 +1,21 @@
+//! The events page of the docs, made from the code.
+
+use std::fmt::Write as _;
+
+use super::all;
+
+/// The text of `docs/events.md`.
+pub fn render() -> String {
+    let mut page = String::from(
+        "# Log events\n\nEach log line of a node starts with the number and the name of an event. \
+         Numbers never change their\nmeaning. `ibisctl events` shows the last 1,000 events of a \
+         node.\n\nThis page is made from the code: `UPDATE_EVENTS_PAGE=1 cargo test -p ibisroute \
+         --test event_page`.\n\n| number | level | name | meaning |\n|---|---|---|---|\n",
+    );
+    for code in all() {
+        let level = code.level.as_str().to_ascii_lowercase();
+        // Writing to a string cannot fail.
+        let _ = writeln!(page, "| {} | {level} | `{}` | {} |", code.number, code.name, code.meaning);
+    }
+    page
+}
--- /dev/null
+++ b/crates/ibisroute/src/node/view.rs
@@ -0,0 +1,122 @@
+//! Combines configuration, endpoints and moves into the snapshot that traffic threads read.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use actix::Actor;
+use actix::AsyncContext;
+use actix::Context;
+use actix::Handler;
+use actix::Message;
+use arc_swap::ArcSwap;
+
+use super::messages::ConfigurationApplied;
+use super::messages::MembersChanged;
+use super::messages::MovesChanged;
+use crate::events;
+use crate::membership::endpoints::SeenTargets;
+use crate::membership::endpoints::endpoint_view;
+use crate::membership::record::MemberView;
+use crate::snapshot::Snapshot;
+use crate::types::Millis;
+
+/// Period in which targets that were lost long ago are forgotten.
+const FORGET_PERIOD: Millis = Millis(10_000);
+
+/// The node stops; new calls are refused from now on.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct RefuseCalls;
+
+/// The only writer of the snapshot; lives on the control thread.
+pub struct ViewActor {
+    shared: Arc<ArcSwap<Snapshot>>,
+    current: Snapshot,
+    members: Option<Arc<MemberView>>,
+    seen: SeenTargets,
+    /// How long a lost target counts for the division of limits.
+    keep: Millis,
+    started: Instant,
+}
+
+impl ViewActor {
+    /// Writes to `shared`; lost targets are counted for `keep`.
+    pub fn new(shared: Arc<ArcSwap<Snapshot>>, keep: Millis) -> Self {
+        Self {
+            shared,
+            current: Snapshot::default(),
+            members: None,
+            seen: SeenTargets::default(),
+            keep,
+            started: Instant::now(),
+        }
+    }
+
+    fn publish(&self) {
+        self.shared.store(Arc::new(self.current.clone()));
+    }
+
+    fn update_endpoints(&mut self) {
+        let Some(members) = &self.members else { return };
+        let now = Millis::from(self.started.elapsed());
+        self.seen.observe(now, members, self.keep);
+        let view = endpoint_view(members, &self.seen);
+        if view == *self.current.endpoints {
+            return;
+        }
+        self.current.endpoints = Arc::new(view);
+        self.publish();
+    }
+}
+
+impl Actor for ViewActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, cx: &mut Self::Context) {
+        cx.run_interval(FORGET_PERIOD.to_duration(), |act, _| act.update_endpoints());
+    }
+}
+
+impl Handler<ConfigurationApplied> for ViewActor {
+    type Result = ();
+
+    fn handle(&mut self, message: ConfigurationApplied, _cx: &mut Self::Context) {
+        let first = self.current.config.is_none();
+        let version = message.0.head.version;
+        if let Some(current) = &self.current.config {
+            assert!(version > current.head.version, "the version in effect only rises");
+        }
+        self.current.config = Some(message.0);
+        self.publish();
+        if first {
+            events::emit(&events::node::SERVING, format_args!("configuration version {version}"));
+        }
+    }
+}
+
+impl Handler<MembersChanged> for ViewActor {
+    type Result = ();
+
+    fn handle(&mut self, message: MembersChanged, _cx: &mut Self::Context) {
+        self.members = Some(message.0);
+        self.update_endpoints();
+    }
+}
+
+impl Handler<MovesChanged> for ViewActor {
+    type Result = ();
+
+    fn handle(&mut self, message: MovesChanged, _cx: &mut Self::Context) {
+        self.current.moves = message.views;
+        self.publish();
+    }
+}
+
+impl Handler<RefuseCalls> for ViewActor {
+    type Result = ();
+
+    fn handle(&mut self, _message: RefuseCalls, _cx: &mut Self::Context) {
+        self.current.draining = true;
+        self.publish();
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/tests/event_page.rs
@@ -0,0 +1,31 @@
+//! The events page and the code agree.
+
+use std::collections::BTreeSet;
+use std::path::Path;
+
+use ibisroute::events;
+
+fn page_path() -> std::path::PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/events.md")
+}
+
+/// Guards against an event that is added or changed without the page.
+#[test]
+fn page_matches_code() {
+    let expected = events::page::render();
+    if std::env::var_os("UPDATE_EVENTS_PAGE").is_some() {
+        std::fs::write(page_path(), &expected).expect("docs/events.md is writable");
+    }
+    let page = std::fs::read_to_string(page_path()).expect("docs/events.md is readable");
+    assert_eq!(page, expected, "docs/events.md is out of date");
+}
+
+/// Guards against two events with one number or name, and numbers out of order.
+#[test]
+fn numbers_are_unique() {
+    let numbers: Vec<u16> = events::all().map(|c| c.number).collect();
+    assert!(numbers.is_sorted(), "events are listed in the order of their numbers: {numbers:?}");
+    assert_eq!(numbers.iter().collect::<BTreeSet<_>>().len(), numbers.len());
+    let names: BTreeSet<&str> = events::all().map(|c| c.name).collect();
+    assert_eq!(names.len(), numbers.len());
+}
