Parse, validate, compare and transfer catalogues

Cause: nodes and ibisctl need one strict reader of the catalogue, and nodes pull new versions from peers as deltas. Change: catalogue::parse reports every fault with its path; canonical_bytes, compile, diff and delta are built on one document type. Numbers with a fraction have at most 3 decimals, because serde_json may read longer ones one unit in the last place off, and the digest would change with each round.

--- a/crates/ibisroute/src/catalogue/model.rs
+++ b/crates/ibisroute/src/catalogue/model.rs
@@ -60,6 +60,32 @@
     Tolerant,
 }
 
+impl Withdrawal {
+    /// All values.
+    pub const ALL: [Self; 3] = [Self::Cautious, Self::Balanced, Self::Tolerant];
+
+    /// The name that the catalogue uses.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Cautious => "cautious",
+            Self::Balanced => "balanced",
+            Self::Tolerant => "tolerant",
+        }
+    }
+}
+
+impl FromStr for Withdrawal {
+    type Err = ParseError;
+
+    fn from_str(s: &str) -> Result<Self, ParseError> {
+        Self::ALL.into_iter().find(|w| w.as_str() == s).ok_or_else(|| ParseError {
+            kind: "withdrawal",
+            value: s.to_string(),
+            expected: "cautious, balanced or tolerant",
+        })
+    }
+}
+
 /// A class of traffic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- /dev/null
+++ b/crates/ibisroute/tests/catalogue_delta.rs
@@ -0,0 +1,83 @@
+//! Deltas and differences between catalogues.
+
+#[path = "common/catalogues.rs"]
+mod catalogues;
+
+use catalogues::AnyCatalogue;
+use catalogues::checker;
+use ibisroute::catalogue::canonical_bytes;
+use ibisroute::catalogue::delta;
+use ibisroute::catalogue::delta::Delta;
+use ibisroute::catalogue::delta::DeltaError;
+use ibisroute::catalogue::diff::diff;
+
+/// Guards against a node that ends with other bytes than the head names.
+#[test]
+fn applied_delta_equals_target() {
+    fn holds(from: AnyCatalogue, to: AnyCatalogue) -> bool {
+        let made = delta::make(&from.0, &to.0);
+        let read = Delta::from_bytes(&made.to_bytes()).expect("a delta reads its own bytes");
+        let applied = delta::apply(&from.0, &read).expect("applies");
+        applied == to.0 && canonical_bytes(&applied) == canonical_bytes(&to.0)
+    }
+    let property = holds as fn(AnyCatalogue, AnyCatalogue) -> bool;
+    checker(500).quickcheck(property);
+}
+
+/// Guards against a delta that is applied to a version it was not made from (P3).
+#[test]
+fn other_base_is_refused() {
+    fn holds(from: AnyCatalogue, to: AnyCatalogue, held: AnyCatalogue) -> bool {
+        let made = delta::make(&from.0, &to.0);
+        match delta::apply(&held.0, &made) {
+            Ok(_) => held.0 == from.0,
+            Err(DeltaError::OtherBase { .. }) => held.0 != from.0,
+            Err(_) => false,
+        }
+    }
+    let property = holds as fn(AnyCatalogue, AnyCatalogue, AnyCatalogue) -> bool;
+    checker(200).quickcheck(property);
+}
+
+/// Guards against a delta damaged on its way that still gives a catalogue.
+#[test]
+fn damaged_delta_is_refused() {
+    fn holds(from: AnyCatalogue, to: AnyCatalogue, at: usize, byte: u8) -> bool {
+        let mut bytes = delta::make(&from.0, &to.0).to_bytes();
+        let at = at % bytes.len();
+        bytes[at] = byte;
+        match Delta::from_bytes(&bytes).and_then(|d| delta::apply(&from.0, &d)) {
+            Ok(applied) => applied == to.0,
+            Err(_) => true,
+        }
+    }
+    let property = holds as fn(AnyCatalogue, AnyCatalogue, usize, u8) -> bool;
+    checker(1000).quickcheck(property);
+}
+
+/// Guards against a change that the difference hides from the operator.
+#[test]
+fn difference_is_empty_only_for_equals() {
+    fn holds(from: AnyCatalogue, to: AnyCatalogue) -> bool {
+        diff(&from.0, &from.0).is_empty() && diff(&from.0, &to.0).is_empty() == (from.0 == to.0)
+    }
+    let property = holds as fn(AnyCatalogue, AnyCatalogue) -> bool;
+    checker(300).quickcheck(property);
+}
+
+/// Guards against a difference that does not tell which field changed from what to what.
+#[test]
+fn changed_fields_are_named() {
+    let text = r#"{"format":1,"name":"k","services":[{"name":"counter","owner":"o","version":"v1"}],
+        "entries":[{"name":"sheet-search","owner":"o","class":"counter_query","service":"counter",
+        "path":"/s","methods":["GET"],
+        "limits":{"rate_per_s":20,"concurrency":6,"deadline_ms":800},
+        "objective":{"success_percent":99.9,"latency_ms":250}}]}"#;
+    let from = ibisroute::catalogue::parse(text.as_bytes()).expect("valid");
+    let mut to = from.clone();
+    to.entries[0].limits.deadline = ibisroute::types::Millis(900);
+    let changes = diff(&from, &to);
+    assert_eq!(changes.len(), 1);
+    let expected = "~ entry sheet-search\n    limits.deadline_ms: 800 -> 900";
+    assert_eq!(changes[0].to_string(), expected);
+}
--- /dev/null
+++ b/crates/ibisroute/tests/common/catalogues.rs
@@ -0,0 +1,113 @@
+//! Random valid catalogues.
+
+use ibisroute::catalogue::document::Document;
+use ibisroute::catalogue::document::EntryDocument;
+use ibisroute::catalogue::document::LimitsDocument;
+use ibisroute::catalogue::document::MoveDocument;
+use ibisroute::catalogue::document::ObjectiveDocument;
+use ibisroute::catalogue::document::ServiceDocument;
+use ibisroute::catalogue::model::Catalogue;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use smol_str::SmolStr;
+
+/// A checker with a fixed seed, so that every run gives the same verdict; `IBIS_SEED` sets another.
+pub(crate) fn checker(tests: u64) -> QuickCheck {
+    let seed = std::env::var("IBIS_SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1);
+    println!("seed {seed}");
+    QuickCheck::new().rng(Gen::from_size_and_seed(100, seed)).tests(tests)
+}
+
+/// A valid catalogue with a few services, entries and moves out of a small set of names, so that
+/// two of them share items.
+#[derive(Clone, Debug)]
+pub(crate) struct AnyCatalogue(pub(crate) Catalogue);
+
+fn below(g: &mut Gen, n: u64) -> u64 {
+    u64::arbitrary(g) % n
+}
+
+fn pick(g: &mut Gen, options: &[&str]) -> SmolStr {
+    SmolStr::new(options[below(g, options.len() as u64) as usize])
+}
+
+fn service(g: &mut Gen, name: usize) -> ServiceDocument {
+    ServiceDocument {
+        name: SmolStr::new(format!("s{name}")),
+        owner: pick(g, &["counter-desk@kuiseb.example", "press \"floor\"", "Ömer"]),
+        version: pick(g, &["v1", "v2"]),
+        report_url: bool::arbitrary(g).then(|| SmolStr::new("http://127.0.0.1:9/report")),
+        withdrawal: pick(g, &["cautious", "balanced", "tolerant"]),
+    }
+}
+
+fn entry(g: &mut Gen, name: usize, services: &[ServiceDocument]) -> EntryDocument {
+    let class = pick(g, &["booking", "counter_query", "internal_query", "upload"]);
+    let service = services[below(g, services.len() as u64) as usize].name.clone();
+    EntryDocument {
+        name: SmolStr::new(format!("e{name}")),
+        owner: pick(g, &["a@kuiseb.example", "b@kuiseb.example"]),
+        idempotency_header: (class == "booking").then(|| pick(g, &["Idempotency-Key", "X-Once"])),
+        class,
+        service,
+        path: SmolStr::new(format!("/p{name}")),
+        methods: vec![pick(g, &["GET", "POST"]), SmolStr::new("PUT")],
+        limits: LimitsDocument {
+            rate_per_s: (below(g, 1_000_000_000 - 100) + 100) as f64 / 1000.0,
+            concurrency: below(g, 1000) as u32 + 1,
+            deadline_ms: below(g, 599_000) + 10,
+            retry_percent: below(g, 100_001) as f64 / 1000.0,
+            max_body_bytes: below(g, 1 << 34),
+        },
+        objective: ObjectiveDocument {
+            success_percent: (50_000 + below(g, 50_000)) as f64 / 1000.0,
+            latency_ms: below(g, 600_000) + 1,
+        },
+    }
+}
+
+fn declared_move(g: &mut Gen, service: &ServiceDocument) -> MoveDocument {
+    let start = below(g, 1 << 41);
+    MoveDocument {
+        id: SmolStr::new(format!("{}-{}", service.name, below(g, 3))),
+        service: service.name.clone(),
+        from: service.version.clone(),
+        to: pick(g, &["v3", "v4"]),
+        start_unix_ms: start,
+        finish_by_unix_ms: start + 1 + below(g, 1 << 30),
+    }
+}
+
+/// A random valid document.
+pub(crate) fn document(g: &mut Gen) -> Document {
+    let mut services = Vec::new();
+    for name in 0..6 {
+        if name == 0 || bool::arbitrary(g) {
+            services.push(service(g, name));
+        }
+    }
+    let mut entries = Vec::new();
+    for name in 0..8 {
+        if bool::arbitrary(g) {
+            entries.push(entry(g, name, &services));
+        }
+    }
+    let mut moves = Vec::new();
+    for service in &services {
+        if bool::arbitrary(g) {
+            moves.push(declared_move(g, service));
+        }
+    }
+    Document { format: 1, name: pick(g, &["kuiseb", "koperasi"]), services, entries, moves }
+}
+
+impl Arbitrary for AnyCatalogue {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let doc = document(g);
+        match Catalogue::try_from(&doc) {
+            Ok(catalogue) => Self(catalogue),
+            Err(e) => panic!("the generator made an invalid document: {e}\n{doc:?}"),
+        }
+    }
+}
