Add the HTTP client of the platform

Cause: the modules know the platform only as a trait. Change: HttpPlatform on awc with bounded answers. Only 429, 503 and a failure to connect count as refused; awc reports a connection that ends after the request as a connect error too (Disconnected), which counts as no answer.

--- a/crates/ibisroute/src/events/platform.rs
+++ b/crates/ibisroute/src/events/platform.rs
@@ -1,6 +1,17 @@
 //! Event codes of `platform`.
 
+use log::Level;
+
 use super::EventCode;
 
+/// The platform broke its protocol.
+pub const UNEXPECTED_ANSWER: EventCode = EventCode {
+    number: 8001,
+    level: Level::Error,
+    name: "platform_unexpected_answer",
+    meaning: "The platform answered with a status that its protocol does not have for the request. \
+              Check the platform's address and release.",
+};
+
 /// Codes in the order of their numbers.
-pub const CODES: &[EventCode] = &[];
+pub const CODES: &[EventCode] = &[UNEXPECTED_ANSWER];
--- /dev/null
+++ b/crates/ibisroute/src/platform/client.rs
@@ -0,0 +1,309 @@
+//! The platform over HTTP. One client for each thread.
+
+use std::fmt::Write as _;
+use std::rc::Rc;
+use std::time::Duration;
+
+use awc::Client;
+use awc::ClientRequest;
+use awc::Connector;
+use awc::error::ConnectError;
+use awc::error::PayloadError;
+use awc::error::SendRequestError;
+use awc::http::Method;
+use awc::http::StatusCode;
+use bytes::Bytes;
+use futures_util::FutureExt;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use super::Platform;
+use super::PlatformFuture;
+use super::model::Conflict;
+use super::model::Outcome;
+use super::model::PlatformError;
+use super::model::Row;
+use super::model::Stored;
+use super::model::Transaction;
+use super::platform_settings::PlatformSettings;
+use crate::events;
+use crate::events::platform::UNEXPECTED_ANSWER;
+
+/// Connections that an idle client keeps for reuse are closed before common idle limits of servers,
+/// so that a request rarely meets a connection that the platform is closing.
+const KEEP_ALIVE_MS: u64 = 4_000;
+
+/// HTTP client of the platform.
+#[derive(Clone)]
+pub struct HttpPlatform {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    client: Client,
+    cfg: PlatformSettings,
+}
+
+/// Status and whole body of an answer.
+struct Answer {
+    status: StatusCode,
+    body: Bytes,
+}
+
+/// Kind of a request, for metrics.
+#[derive(Clone, Copy)]
+enum Kind {
+    Read,
+    Write,
+}
+
+impl Kind {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Write => "write",
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct ScanAnswer {
+    rows: Vec<Row>,
+}
+
+#[derive(Deserialize)]
+struct CommitAnswer {
+    committed: bool,
+}
+
+#[derive(Deserialize)]
+struct ConflictAnswer {
+    conflicts: Vec<Conflict>,
+}
+
+impl HttpPlatform {
+    /// Makes a client; connects on the first request. Must run inside an actix system.
+    pub fn new(cfg: PlatformSettings) -> Self {
+        let mut connector = Connector::new()
+            .timeout(Duration::from_millis(cfg.connect_timeout_ms))
+            .conn_keep_alive(Duration::from_millis(KEEP_ALIVE_MS));
+        if let Some(addr) = cfg.local_address {
+            connector = connector.local_address(addr);
+        }
+        let client =
+            Client::builder().connector(connector).disable_timeout().disable_redirects().finish();
+        Self { inner: Rc::new(Inner { client, cfg }) }
+    }
+
+    fn request(&self, method: Method, path_and_query: &str) -> ClientRequest {
+        let url = format!("http://{}{path_and_query}", self.inner.cfg.address);
+        self.inner.client.request(method, url)
+    }
+
+    /// Sends a request and reads the whole answer. 429 and 503 become [`PlatformError::Refused`].
+    async fn call(
+        &self,
+        kind: Kind,
+        req: ClientRequest,
+        body: Bytes,
+        max_bytes: usize,
+    ) -> Result<Answer, PlatformError> {
+        metrics::counter!("ibis_platform_requests_total", "kind" => kind.as_str()).increment(1);
+        metrics::counter!("ibis_platform_bytes_total", "direction" => "sent")
+            .increment(body.len() as u64);
+        let limit = Duration::from_millis(self.inner.cfg.request_timeout_ms);
+        let result = match tokio::time::timeout(limit, exchange(req, body, max_bytes)).await {
+            Ok(result) => result,
+            Err(_) => Err(PlatformError::NoAnswer(format!("no whole answer in {limit:?}"))),
+        };
+        match &result {
+            Ok(answer) => metrics::counter!("ibis_platform_bytes_total", "direction" => "received")
+                .increment(answer.body.len() as u64),
+            Err(e) => count_failure(kind, e),
+        }
+        result
+    }
+}
+
+fn count_failure(kind: Kind, error: &PlatformError) {
+    let reason = match error {
+        PlatformError::Refused(_) => "refused",
+        PlatformError::NoAnswer(_) => "no_answer",
+        PlatformError::Protocol(_) => "protocol",
+    };
+    metrics::counter!("ibis_platform_failures_total", "kind" => kind.as_str(), "reason" => reason)
+        .increment(1);
+}
+
+async fn exchange(
+    req: ClientRequest,
+    body: Bytes,
+    max_bytes: usize,
+) -> Result<Answer, PlatformError> {
+    let mut response = req.send_body(body).await.map_err(send_error)?;
+    let status = response.status();
+    if matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) {
+        return Err(PlatformError::Refused(format!("status {status}")));
+    }
+    // A gateway in between may have passed the request on before it failed.
+    if status.is_server_error() {
+        return Err(PlatformError::NoAnswer(format!("status {status}")));
+    }
+    match response.body().limit(max_bytes).await {
+        Ok(body) => Ok(Answer { status, body }),
+        Err(PayloadError::Overflow) => {
+            Err(PlatformError::NoAnswer(format!("an answer of more than {max_bytes} bytes")))
+        }
+        Err(e) => Err(PlatformError::NoAnswer(e.to_string())),
+    }
+}
+
+/// Only a failure to connect proves that nothing was sent. `ConnectError::Disconnected` does not:
+/// `awc` also returns it when the connection ends after the request.
+fn send_error(error: SendRequestError) -> PlatformError {
+    let text = error.to_string();
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected | ConnectError::H2(_)) => {
+            PlatformError::NoAnswer(text)
+        }
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => PlatformError::Refused(text),
+        _ => PlatformError::NoAnswer(text),
+    }
+}
+
+/// An answer that cannot be read counts as none: a write may have taken effect.
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+    serde_json::from_slice(body)
+        .map_err(|e| PlatformError::NoAnswer(format!("an answer that cannot be read: {e}")))
+}
+
+fn unexpected<T>(what: &str, answer: &Answer) -> Result<T, PlatformError> {
+    let excerpt = String::from_utf8_lossy(&answer.body[..answer.body.len().min(200)]).into_owned();
+    events::emit(&UNEXPECTED_ANSWER, format_args!("{what}: status {}: {excerpt}", answer.status));
+    Err(PlatformError::Protocol(format!("{what}: status {}: {excerpt}", answer.status)))
+}
+
+/// Percent-encodes everything but unreserved characters and those in `keep`.
+fn encode(text: &str, keep: &[u8]) -> String {
+    let mut encoded = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) || keep.contains(&byte) {
+            encoded.push(char::from(byte));
+        } else {
+            let _ = write!(encoded, "%{byte:02X}");
+        }
+    }
+    encoded
+}
+
+fn object_path(name: &str) -> String {
+    format!("/objects/{}", encode(name, b"/"))
+}
+
+impl Platform for HttpPlatform {
+    fn get(&self, key: &str) -> PlatformFuture<Option<Row>> {
+        let this = self.clone();
+        let path = format!("/table/row?key={}", encode(key, b"/"));
+        async move {
+            let req = this.request(Method::GET, &path);
+            let max = this.inner.cfg.max_rows_bytes;
+            let answer = this.call(Kind::Read, req, Bytes::new(), max).await?;
+            match answer.status {
+                StatusCode::OK => decode(&answer.body).map(Some),
+                StatusCode::NOT_FOUND => Ok(None),
+                _ => unexpected("reading a row", &answer),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn scan(&self, prefix: &str, after: &str, limit: usize) -> PlatformFuture<Vec<Row>> {
+        let this = self.clone();
+        let (prefix, after) = (encode(prefix, b"/"), encode(after, b"/"));
+        let path = format!("/table/scan?prefix={prefix}&after={after}&limit={limit}");
+        async move {
+            let req = this.request(Method::GET, &path);
+            let max = this.inner.cfg.max_rows_bytes;
+            let answer = this.call(Kind::Read, req, Bytes::new(), max).await?;
+            match answer.status {
+                StatusCode::OK => decode::<ScanAnswer>(&answer.body).map(|a| a.rows),
+                _ => unexpected("scanning rows", &answer),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn transact(&self, transaction: Transaction) -> PlatformFuture<Outcome> {
+        let this = self.clone();
+        async move {
+            let body = serde_json::to_vec(&transaction)
+                .map_err(|e| PlatformError::Refused(format!("not sent: {e}")))?;
+            let req = this
+                .request(Method::POST, "/table/transact")
+                .insert_header(("Content-Type", "application/json"));
+            let max = this.inner.cfg.max_rows_bytes;
+            let answer = this.call(Kind::Write, req, body.into(), max).await?;
+            match answer.status {
+                StatusCode::OK if decode::<CommitAnswer>(&answer.body)?.committed => {
+                    Ok(Outcome::Committed)
+                }
+                StatusCode::CONFLICT => {
+                    let conflicts = decode::<ConflictAnswer>(&answer.body)?.conflicts;
+                    Ok(Outcome::Conflicts(conflicts))
+                }
+                _ => unexpected("a transaction", &answer),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn put_object(&self, name: &str, bytes: Bytes) -> PlatformFuture<Stored> {
+        let this = self.clone();
+        let path = object_path(name);
+        async move {
+            let req = this
+                .request(Method::PUT, &path)
+                .insert_header(("Content-Type", "application/octet-stream"));
+            let max = this.inner.cfg.max_rows_bytes;
+            let answer = this.call(Kind::Write, req, bytes, max).await?;
+            match answer.status {
+                StatusCode::CREATED => Ok(Stored::Created),
+                StatusCode::OK => Ok(Stored::Same),
+                StatusCode::CONFLICT => Ok(Stored::Different),
+                _ => unexpected("storing an object", &answer),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn get_object(&self, name: &str) -> PlatformFuture<Option<Bytes>> {
+        let this = self.clone();
+        let path = object_path(name);
+        async move {
+            let req = this.request(Method::GET, &path);
+            let max = this.inner.cfg.max_object_bytes;
+            let answer = this.call(Kind::Read, req, Bytes::new(), max).await?;
+            match answer.status {
+                StatusCode::OK => Ok(Some(answer.body)),
+                StatusCode::NOT_FOUND => Ok(None),
+                _ => unexpected("reading an object", &answer),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn delete_object(&self, name: &str) -> PlatformFuture<()> {
+        let this = self.clone();
+        let path = object_path(name);
+        async move {
+            let req = this.request(Method::DELETE, &path);
+            let max = this.inner.cfg.max_rows_bytes;
+            let answer = this.call(Kind::Write, req, Bytes::new(), max).await?;
+            match answer.status {
+                StatusCode::NO_CONTENT | StatusCode::NOT_FOUND => Ok(()),
+                _ => unexpected("deleting an object", &answer),
+            }
+        }
+        .boxed_local()
+    }
+}
--- a/crates/ibisroute/src/platform/mod.rs
+++ b/crates/ibisroute/src/platform/mod.rs
@@ -1,6 +1,8 @@
 //! Client of the platform's table service and object store.
 
+pub mod client;
 pub mod model;
+pub mod platform_settings;
 
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
