Drive the life cycle of local targets

Cause: announcements, leases and health hints must become member records and commands to the dispatch thread.

--- a/crates/ibisroute/src/events/node.rs
+++ b/crates/ibisroute/src/events/node.rs
@@ -36,5 +36,37 @@
     meaning: "The node has stopped; the detail says whether calls in flight were cut.",
 };
 
+/// A target announced itself.
+pub const TARGET_ANNOUNCED: EventCode = EventCode {
+    number: 1005,
+    level: Level::Info,
+    name: "target_announced",
+    meaning: "A target beside the node announced itself for the first time.",
+};
+
+/// A target takes no new calls.
+pub const TARGET_DRAINING: EventCode = EventCode {
+    number: 1006,
+    level: Level::Info,
+    name: "target_draining",
+    meaning: "A target beside the node left or did not renew its lease; it gets no new calls.",
+};
+
+/// A target is forgotten.
+pub const TARGET_GONE: EventCode = EventCode {
+    number: 1007,
+    level: Level::Info,
+    name: "target_gone",
+    meaning: "The calls of a draining target have ended, or its time is over; it is forgotten.",
+};
+
 /// Codes in the order of their numbers.
-pub const CODES: &[EventCode] = &[STARTED, SERVING, DRAINING, STOPPED];
+pub const CODES: &[EventCode] = &[
+    STARTED,
+    SERVING,
+    DRAINING,
+    STOPPED,
+    TARGET_ANNOUNCED,
+    TARGET_DRAINING,
+    TARGET_GONE,
+];
