--- /dev/null
+++ b/crates/ibisroute/src/moves/actor.rs
@@ -0,0 +1,314 @@
+//! Actor that drives the decisions about moves with the table, peers and datagrams.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use actix::Actor;
+use actix::AsyncContext;
+use actix::Context;
+use actix::Handler;
+use actix::Message;
+use actix::Recipient;
+use actix::WrapFuture;
+use actix::fut::ActorFutureExt;
+use awc::Client;
+
+use crate::events;
+use crate::moves::evaluator::Action;
+use crate::moves::evaluator::Evaluator;
+use crate::moves::evaluator::Event;
+use crate::moves::evaluator::MoveReport;
+use crate::moves::move_settings::MoveSettings;
+use crate::moves::outcome::OwnerReport;
+use crate::moves::outcome::RecordedOutcome;
+use crate::moves::outcome::outcome_key;
+use crate::moves::outcome::report_key;
+use crate::node::messages::ConfigurationApplied;
+use crate::node::messages::CountsCollected;
+use crate::node::messages::DatagramReceived;
+use crate::node::messages::MembersChanged;
+use crate::node::messages::MovesChanged;
+use crate::node::messages::PeerMovesDiffer;
+use crate::peers::ControlTransport;
+use crate::platform::Platform;
+use crate::platform::model::Condition;
+use crate::platform::model::Outcome;
+use crate::platform::model::Put;
+use crate::platform::model::Transaction;
+use crate::types::Millis;
+use crate::types::MoveId;
+use crate::types::NodeId;
+use crate::types::UnixMillis;
+use crate::wire::ControlReply;
+use crate::wire::ControlRequest;
+use crate::wire::Datagram;
+
+/// Interval of [`Event::Tick`]: half of the shortest delay in the decisions.
+const TICK: Millis = Millis(50);
+
+/// Sends a control datagram; loss is repaired by the hash in the probes.
+pub type SendDatagram = Rc<dyn Fn(SocketAddr, Datagram)>;
+
+/// What the actor works with.
+#[derive(Clone)]
+pub struct MovesContext {
+    /// This node.
+    pub node: NodeId,
+    /// Start of the process in Unix milliseconds.
+    pub incarnation: u64,
+    /// Settings.
+    pub settings: MoveSettings,
+    /// Seed of the choice of peers and of jitter.
+    pub seed: u64,
+    /// Table.
+    pub platform: Rc<dyn Platform>,
+    /// Control requests to peers.
+    pub peers: Rc<dyn ControlTransport>,
+    /// Control datagrams to peers.
+    pub send: SendDatagram,
+    /// Takers of the shares.
+    pub subscribers: Vec<Recipient<MovesChanged>>,
+}
+
+/// A control request about moves: `Evidence` or `FetchMoves`; others get `Unknown`.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "ControlReply")]
+pub struct MovesRequest(pub ControlRequest);
+
+/// A traffic thread saw a run of failures of a move's new version.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub struct FailureRunSeen(pub MoveId);
+
+/// Asks for the declared moves.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "Vec<MoveReport>")]
+pub struct QueryMoves;
+
+/// Actor of the control thread.
+pub struct MovesActor {
+    cx: MovesContext,
+    started: Instant,
+    evaluator: Evaluator,
+    client: Client,
+}
+
+impl MovesActor {
+    /// An actor that knows no configuration yet.
+    pub fn new(cx: MovesContext) -> Self {
+        let evaluator =
+            Evaluator::new(cx.node.clone(), cx.incarnation, cx.settings.clone(), cx.seed);
+        let client = Client::builder().timeout(cx.settings.report_timeout.to_duration()).finish();
+        Self { cx, started: Instant::now(), evaluator, client }
+    }
+
+    fn now(&self) -> Millis {
+        Millis::from(self.started.elapsed())
+    }
+
+    fn step(&mut self, event: Event, ctx: &mut Context<Self>) {
+        for action in self.evaluator.step(self.now(), UnixMillis::now(), event) {
+            self.perform(action, ctx);
+        }
+    }
+
+    fn perform(&mut self, action: Action, ctx: &mut Context<Self>) {
+        match action {
+            Action::Notify { to, states } => {
+                to.into_iter()
+                    .for_each(|addr| (self.cx.send)(addr, Datagram::MoveNotice(states.clone())));
+            }
+            Action::SendEvidence { to, evidence } => {
+                let request = ControlRequest::Evidence(evidence);
+                let reply = self.cx.peers.request(to, request, self.cx.settings.peer_timeout);
+                // Counters are cumulative: the next report makes up for a lost one.
+                ctx.spawn(reply.into_actor(self).map(|_, _, _| ()));
+            }
+            Action::FetchMoves(addr) => self.fetch_moves(addr, ctx),
+            Action::ReadOutcome(id) => {
+                let row = read_outcome(self.cx.platform.clone(), id.clone());
+                let step = row.into_actor(self).map(move |result, actor, ctx| {
+                    actor.step(Event::OutcomeRead(id, result), ctx);
+                });
+                ctx.spawn(step);
+            }
+            Action::WriteOutcome(id, outcome) => {
+                let written = write_outcome(self.cx.platform.clone(), id.clone(), outcome);
+                let step = written.into_actor(self).map(move |result, actor, ctx| {
+                    actor.step(Event::OutcomeWritten(id, result), ctx);
+                });
+                ctx.spawn(step);
+            }
+            Action::Report { url, report } => {
+                let id = report.id.clone();
+                let client = self.client.clone();
+                let sent = deliver(self.cx.platform.clone(), client, url.map(String::from), report);
+                let step = sent.into_actor(self).map(move |result, actor, ctx| {
+                    actor.step(Event::Reported(id, result), ctx);
+                });
+                ctx.spawn(step);
+            }
+            Action::Publish { views, hash } => {
+                let changed = MovesChanged { views, hash };
+                self.cx.subscribers.iter().for_each(|r| r.do_send(changed.clone()));
+            }
+            Action::Log(code, detail) => events::emit(&code, format_args!("{detail}")),
+        }
+    }
+
+    fn fetch_moves(&mut self, addr: SocketAddr, ctx: &mut Context<Self>) {
+        let timeout = self.cx.settings.peer_timeout;
+        let reply = self.cx.peers.request(addr, ControlRequest::FetchMoves, timeout);
+        let step = reply.into_actor(self).map(|reply, actor, ctx| {
+            if let Ok(ControlReply::Moves(states)) = reply {
+                actor.step(Event::States(states), ctx);
+            }
+        });
+        ctx.spawn(step);
+    }
+}
+
+impl Actor for MovesActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Context<Self>) {
+        ctx.run_interval(TICK.to_duration(), |actor, ctx| actor.step(Event::Tick, ctx));
+    }
+}
+
+impl Handler<ConfigurationApplied> for MovesActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: ConfigurationApplied, ctx: &mut Context<Self>) {
+        self.step(Event::Configuration(msg.0), ctx);
+    }
+}
+
+impl Handler<MembersChanged> for MovesActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: MembersChanged, ctx: &mut Context<Self>) {
+        self.step(Event::Members(msg.0), ctx);
+    }
+}
+
+impl Handler<CountsCollected> for MovesActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: CountsCollected, ctx: &mut Context<Self>) {
+        self.step(Event::Counts(msg.0), ctx);
+    }
+}
+
+impl Handler<DatagramReceived> for MovesActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: DatagramReceived, ctx: &mut Context<Self>) {
+        if let Datagram::MoveNotice(states) = msg.datagram {
+            self.step(Event::States(states), ctx);
+        }
+    }
+}
+
+impl Handler<PeerMovesDiffer> for MovesActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: PeerMovesDiffer, ctx: &mut Context<Self>) {
+        self.step(Event::PeerDiffers(msg.peer_addr), ctx);
+    }
+}
+
+impl Handler<FailureRunSeen> for MovesActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: FailureRunSeen, ctx: &mut Context<Self>) {
+        self.step(Event::FailureRun(msg.0), ctx);
+    }
+}
+
+impl Handler<MovesRequest> for MovesActor {
+    type Result = actix::MessageResult<MovesRequest>;
+
+    fn handle(&mut self, msg: MovesRequest, ctx: &mut Context<Self>) -> Self::Result {
+        actix::MessageResult(match msg.0 {
+            ControlRequest::Evidence(evidence) => {
+                self.step(Event::Evidence(evidence), ctx);
+                ControlReply::Done
+            }
+            ControlRequest::FetchMoves => ControlReply::Moves(self.evaluator.states()),
+            _ => ControlReply::Unknown,
+        })
+    }
+}
+
+impl Handler<QueryMoves> for MovesActor {
+    type Result = Vec<MoveReport>;
+
+    fn handle(&mut self, _: QueryMoves, _: &mut Context<Self>) -> Vec<MoveReport> {
+        self.evaluator.report(self.now(), UnixMillis::now())
+    }
+}
+
+async fn read_outcome(
+    platform: Rc<dyn Platform>,
+    id: MoveId,
+) -> Result<Option<RecordedOutcome>, String> {
+    let row = platform.get(&outcome_key(&id)).await.map_err(|e| e.to_string())?;
+    row.map(|row| serde_json::from_value(row.value).map_err(|e| e.to_string())).transpose()
+}
+
+/// Inserts the outcome unless the row is there, and returns what the row says. After a lost answer
+/// the row is read: whatever it holds was written first.
+async fn write_outcome(
+    platform: Rc<dyn Platform>,
+    id: MoveId,
+    outcome: RecordedOutcome,
+) -> Result<RecordedOutcome, String> {
+    let result = match insert(&platform, outcome_key(&id), &outcome).await {
+        Ok(true) => return Ok(outcome),
+        Ok(false) => Ok(()),
+        Err(error) => Err(error),
+    };
+    match read_outcome(platform, id).await? {
+        Some(recorded) => Ok(recorded),
+        None => Err(result.err().unwrap_or_else(|| "the outcome row vanished".to_string())),
+    }
+}
+
+/// Inserts a row; `false` when the key is taken.
+async fn insert<T: serde::Serialize>(
+    platform: &Rc<dyn Platform>,
+    key: String,
+    value: &T,
+) -> Result<bool, String> {
+    let value = serde_json::to_value(value).map_err(|e| e.to_string())?;
+    let transaction = Transaction {
+        conditions: vec![Condition { key: key.as_str().into(), revision: None }],
+        puts: vec![Put { key: key.into(), value }],
+        ..Transaction::default()
+    };
+    let outcome = platform.transact(transaction).await.map_err(|e| e.to_string())?;
+    Ok(outcome == Outcome::Committed)
+}
+
+/// Delivers a report unless its row says that this is done. The row is written after the delivery,
+/// so that a failure in between repeats the report rather than losing it.
+async fn deliver(
+    platform: Rc<dyn Platform>,
+    client: Client,
+    url: Option<String>,
+    report: OwnerReport,
+) -> Result<(), String> {
+    let key = report_key(&report.id);
+    if platform.get(&key).await.map_err(|e| e.to_string())?.is_some() {
+        return Ok(());
+    }
+    if let Some(url) = url {
+        let response = client.post(&url).send_json(&report).await.map_err(|e| e.to_string())?;
+        if !response.status().is_success() {
+            return Err(format!("{url} responded with {}", response.status()));
+        }
+    }
+    insert(&platform, key, &report).await.map(|_| ())
+}
--- /dev/null
+++ b/crates/ibisroute/src/moves/state.rs
@@ -0,0 +1,118 @@
+//! State of a move that nodes exchange: a join-semilattice, so that order and repeats do not matter.
+
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::membership::record::StableHasher;
+use crate::types::MoveId;
+use crate::types::ParseError;
+use crate::wire::MoveStateWire;
+
+/// Longest reason kept, in bytes: four states fit one datagram.
+pub const MAX_REASON_BYTES: usize = 160;
+
+/// State of one move. Stage 0 gives the new version nothing; stage `n` is the n-th share of the
+/// schedule.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct MoveState {
+    /// Highest permitted stage.
+    pub stage: u8,
+    /// Whether the outcome row says "finished". Set only by a node that read or wrote the row.
+    pub finished: bool,
+    /// Whether the new version was condemned.
+    pub withdrawn: bool,
+    /// Why; of two reasons the greater text is kept.
+    pub reason: SmolStr,
+}
+
+/// What a state means for traffic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// The new version gets nothing yet.
+    Waiting,
+    /// The new version gets the share of a stage.
+    Moving,
+    /// The new version has all calls.
+    Finished,
+    /// The old version has all calls.
+    Withdrawn,
+}
+
+impl MoveState {
+    /// The least upper bound of both states; returns whether this state changed.
+    pub fn merge(&mut self, other: &Self) -> bool {
+        let before = self.clone();
+        self.stage = self.stage.max(other.stage);
+        self.finished |= other.finished;
+        self.withdrawn |= other.withdrawn;
+        if other.reason > self.reason {
+            self.reason = other.reason.clone();
+        }
+        *self != before
+    }
+
+    /// What the state means. The recorded outcome decides: `finished` comes from the row that the
+    /// first writer made, so a withdrawal that arrives later does not undo it. The owner may have
+    /// stopped the old version by then.
+    pub fn phase(&self) -> Phase {
+        if self.finished {
+            return Phase::Finished;
+        }
+        if self.withdrawn {
+            return Phase::Withdrawn;
+        }
+        if self.stage == 0 { Phase::Waiting } else { Phase::Moving }
+    }
+
+    /// The state as it travels.
+    pub fn to_wire(&self, id: &MoveId) -> MoveStateWire {
+        MoveStateWire {
+            id: id.clone().into(),
+            stage: self.stage,
+            finished: self.finished,
+            withdrawn: self.withdrawn,
+            reason: self.reason.clone(),
+        }
+    }
+}
+
+impl TryFrom<MoveStateWire> for (MoveId, MoveState) {
+    type Error = ParseError;
+
+    fn try_from(wire: MoveStateWire) -> Result<Self, ParseError> {
+        let state = MoveState {
+            stage: wire.stage.min(crate::moves::schedule::LAST_STAGE),
+            finished: wire.finished,
+            withdrawn: wire.withdrawn,
+            reason: shorten(&wire.reason),
+        };
+        Ok((wire.id.try_into()?, state))
+    }
+}
+
+/// Cuts a reason to [`MAX_REASON_BYTES`] at a character boundary.
+pub fn shorten(reason: &str) -> SmolStr {
+    let end = (0..=reason.len().min(MAX_REASON_BYTES))
+        .rev()
+        .find(|i| reason.is_char_boundary(*i))
+        .unwrap_or(0);
+    SmolStr::new(&reason[..end])
+}
+
+/// Hash over states, equal on every host and release. States that say nothing are left out.
+pub fn hash_states<'a>(states: impl Iterator<Item = (&'a MoveId, &'a MoveState)>) -> u64 {
+    let sorted: BTreeMap<_, _> = states.filter(|(_, s)| **s != MoveState::default()).collect();
+    let mut hasher = StableHasher::default();
+    for (id, state) in sorted {
+        hasher.write(id.as_str().as_bytes());
+        hasher.write(&[0, state.stage, u8::from(state.finished), u8::from(state.withdrawn)]);
+        hasher.write(state.reason.as_bytes());
+        hasher.write(&[0]);
+    }
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/ibisroute/src/moves/verdict.rs
@@ -0,0 +1,463 @@
+//! Sequential comparison of the new version with the old one.
+//!
+//! Each entry, and all entries together, have one cumulative-sum test for failures, refusals and
+//! slow calls. A test that crosses its threshold makes a suspicion. The suspicion is confirmed when
+//! the old version, in the same time, was clearly better; a cause that hits both versions is not.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use derive_more::Display;
+use smol_str::SmolStr;
+
+use crate::moves::move_settings::Thresholds;
+use crate::telemetry::LATENCY_BUCKETS;
+use crate::telemetry::LatencyHistogram;
+use crate::telemetry::OutcomeCounts;
+use crate::types::EntryName;
+use crate::types::Millis;
+
+/// Time that one slot of the recent window covers.
+const SLOT_MS: u64 = 200;
+
+/// Slots kept: 30 s, the longest window that a suspicion looks back over.
+const SLOTS: usize = 150;
+
+/// Window over which a present change of the old version is seen.
+const RECENT_MS: u64 = 3_000;
+
+/// A present share of the old version counts from this many calls on.
+const RECENT_CALLS: u64 = 20;
+
+/// Consecutive failures over the fleet that make a suspicion, for all thresholds.
+const RUN_LENGTH: u64 = 5;
+
+/// Longest wait for calls of the old version when more than half of the calls are bad. With the
+/// evidence interval it keeps a withdrawal below one second.
+const WAIT_GROSS_MS: u64 = 600;
+
+/// Longest wait for calls of the old version when fewer calls are bad.
+const WAIT_SLIGHT_MS: u64 = 3_000;
+
+/// Chance at which the old version counts as clearly better.
+const CLEAR: f64 = 0.05;
+
+/// Expected bad calls of the old version below which its calls say too little.
+const FEW_EXPECTED: f64 = 3.0;
+
+/// Calls of the old version before its own latency sets the limit for slow calls.
+const LATENCY_CALLS: u64 = 50;
+
+/// Calls of the old version after which its limit for slow calls stays, so that later
+/// counts are compared with the same limit.
+const LIMIT_CALLS: u64 = 2_000;
+
+/// Load above the most that the old version carried, beyond which there is nothing to compare with.
+const OVERLOAD: f64 = 1.25;
+
+/// Share of bad calls that condemns also above that load.
+const OVERLOAD_SHARE: f64 = 0.3;
+
+/// Kind of fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub enum Fault {
+    /// Calls fail.
+    #[display("failures")]
+    Failures,
+    /// Calls are refused before they run.
+    #[display("refusals")]
+    Refusals,
+    /// Calls are slow.
+    #[display("slow calls")]
+    Slow,
+}
+
+const FAULTS: [Fault; 3] = [Fault::Failures, Fault::Refusals, Fault::Slow];
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Tally {
+    calls: u64,
+    refused: u64,
+    failures: u64,
+    timed: u64,
+    slow: u64,
+}
+
+impl Tally {
+    fn add(&mut self, other: &Self) {
+        self.calls += other.calls;
+        self.refused += other.refused;
+        self.failures += other.failures;
+        self.timed += other.timed;
+        self.slow += other.slow;
+    }
+
+    /// Calls that could show the fault, and those that do.
+    fn of(&self, fault: Fault) -> (u64, u64) {
+        let ran = self.calls.saturating_sub(self.refused);
+        match fault {
+            Fault::Failures => (ran, self.failures.min(ran)),
+            Fault::Refusals => (self.calls, self.refused.min(self.calls)),
+            Fault::Slow => (self.timed, self.slow),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Slot {
+    at: u64,
+    old: Tally,
+    new: Tally,
+}
+
+/// Cumulative sum of log-likelihood ratios, reset at zero.
+#[derive(Clone, Copy, Debug, Default)]
+struct Score {
+    value: f64,
+    rise_at: Millis,
+    crossed_at: Option<Millis>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Watch {
+    baseline: Tally,
+    pending: Tally,
+    slots: VecDeque<Slot>,
+    scores: [Score; 3],
+    run: u64,
+    run_at: Millis,
+    run_crossed_at: Option<Millis>,
+    first_new: Option<Millis>,
+    latency: LatencyHistogram,
+    latency_calls: u64,
+    slow_bucket: Option<usize>,
+    peak_old_calls: u64,
+    new_calls: u64,
+}
+
+impl Watch {
+    fn slot(&mut self, now: Millis) -> &mut Slot {
+        let at = now.0 / SLOT_MS;
+        if self.slots.back().is_none_or(|s| s.at < at) {
+            self.slots.push_back(Slot { at, ..Slot::default() });
+        }
+        while self.slots.len() > SLOTS || self.slots.front().is_some_and(|s| s.at + 150 < at) {
+            self.slots.pop_front();
+        }
+        let last = self.slots.len() - 1;
+        &mut self.slots[last]
+    }
+
+    /// Sums of the old and the new version since `from`.
+    fn window(&self, from: Millis) -> (Tally, Tally) {
+        let (mut old, mut new) = (Tally::default(), Tally::default());
+        let first = from.0 / SLOT_MS;
+        for slot in self.slots.iter().rev().take_while(|s| s.at >= first) {
+            old.add(&slot.old);
+            new.add(&slot.new);
+        }
+        (old, new)
+    }
+
+    fn add_old(&mut self, now: Millis, tally: &Tally) {
+        self.baseline.add(tally);
+        self.slot(now).old.add(tally);
+        let (recent, _) = self.window(Millis(now.0.saturating_sub(RECENT_MS)));
+        self.peak_old_calls = self.peak_old_calls.max(recent.calls);
+    }
+
+    fn add_new(&mut self, now: Millis, tally: &Tally) {
+        self.first_new.get_or_insert(now);
+        self.pending.add(tally);
+        self.slot(now).new.add(tally);
+        let (ran, failed) = tally.of(Fault::Failures);
+        self.new_calls += ran;
+        if ran == 0 {
+            return;
+        }
+        if failed < ran {
+            self.run = 0;
+            self.run_crossed_at = None;
+            return;
+        }
+        if self.run == 0 {
+            self.run_at = now;
+        }
+        self.run += failed;
+    }
+
+    /// The old version's share of bad calls: the larger of the share over the whole move and the
+    /// present one.
+    fn expected_share(&self, now: Millis, fault: Fault) -> f64 {
+        let (calls, bad) = self.baseline.of(fault);
+        let whole = (bad as f64 + 0.5) / (calls as f64 + 50.0);
+        let (recent, _) = self.window(Millis(now.0.saturating_sub(RECENT_MS)));
+        let (calls, bad) = recent.of(fault);
+        let present = if calls < RECENT_CALLS { 0.0 } else { bad as f64 / calls as f64 };
+        let floor = if fault == Fault::Failures { 0.002 } else { 0.01 };
+        whole.max(present).max(floor)
+    }
+
+    fn advance(&mut self, now: Millis, thresholds: &Thresholds, together: bool) {
+        let pending = std::mem::take(&mut self.pending);
+        for (i, fault) in FAULTS.into_iter().enumerate() {
+            let (calls, bad) = pending.of(fault);
+            if calls == 0 {
+                continue;
+            }
+            let expected = self.expected_share(now, fault).min(0.9);
+            let excess = excess(fault, thresholds, together);
+            let alternative = (2.0 * expected).max(expected + excess).min(0.95);
+            let gain = bad as f64 * (alternative / expected).ln()
+                + (calls - bad) as f64 * ((1.0 - alternative) / (1.0 - expected)).ln();
+            let score = &mut self.scores[i];
+            if score.value <= 0.0 {
+                score.rise_at = now;
+            }
+            // The upper bound lets the score fall again soon after a cause that hit both versions.
+            score.value = (score.value + gain).clamp(0.0, 2.0 * thresholds.score);
+            match (score.value >= thresholds.score, score.crossed_at) {
+                (true, None) => score.crossed_at = Some(now),
+                (false, Some(_)) => score.crossed_at = None,
+                _ => {}
+            }
+        }
+        if self.run >= RUN_LENGTH && self.run_crossed_at.is_none() {
+            self.run_crossed_at = Some(now);
+        }
+    }
+
+    /// Whether load is above what the old version ever carried, so that nothing compares.
+    fn is_overloaded(&self, now: Millis) -> bool {
+        let (old, new) = self.window(Millis(now.0.saturating_sub(RECENT_MS)));
+        let calls = old.calls + new.calls;
+        calls > RECENT_CALLS && calls as f64 > OVERLOAD * self.peak_old_calls as f64
+    }
+
+    /// Whether the old version did clearly better since `rise`; `None` while that is open.
+    fn confirm(&self, now: Millis, fault: Fault, rise: Millis, crossed: Millis) -> Option<f64> {
+        let (old, new) = self.window(rise);
+        let (new_calls, new_bad) = new.of(fault);
+        if new_calls == 0 {
+            return None;
+        }
+        let share = new_bad as f64 / new_calls as f64;
+        let (old_calls, old_bad) = old.of(fault);
+        let better = share / 2.0;
+        if old_bad as f64 > better * old_calls as f64 {
+            return None;
+        }
+        if binomial_at_most(old_calls, old_bad, better) <= CLEAR {
+            return Some(share);
+        }
+        let wait = if share >= 0.5 { WAIT_GROSS_MS } else { WAIT_SLIGHT_MS };
+        let few = old_calls as f64 * better < FEW_EXPECTED;
+        (few && now.since(crossed).0 >= wait).then_some(share)
+    }
+
+    fn verdict(&self, now: Millis) -> Option<(Fault, f64)> {
+        for (score, fault) in self.scores.iter().zip(FAULTS) {
+            let Some(crossed) = score.crossed_at else { continue };
+            let Some(share) = self.confirm(now, fault, score.rise_at, crossed) else { continue };
+            let gross = fault == Fault::Failures && share >= OVERLOAD_SHARE;
+            if !gross && self.is_overloaded(now) {
+                continue;
+            }
+            return Some((fault, share));
+        }
+        let crossed = self.run_crossed_at?;
+        let share = self.confirm(now, Fault::Failures, self.run_at, crossed)?;
+        let usual = self.expected_share(now, Fault::Failures);
+        (share >= 0.5 && usual < 0.25).then_some((Fault::Failures, share))
+    }
+}
+
+/// Excess share that a test is made to find. All entries together have many calls, so that half
+/// the excess is found in the same time.
+fn excess(fault: Fault, thresholds: &Thresholds, together: bool) -> f64 {
+    let factor = if together { 0.5 } else { 1.0 };
+    match fault {
+        Fault::Failures => thresholds.failure_excess * factor,
+        // Refusals depend on capacity, which differs between versions in the middle of a move.
+        Fault::Refusals => 0.5,
+        Fault::Slow => thresholds.slow_excess * factor,
+    }
+}
+
+/// Chance of at most `bad` among `calls` when each is bad with chance `p`.
+fn binomial_at_most(calls: u64, bad: u64, p: f64) -> f64 {
+    if bad >= calls || p <= 0.0 {
+        return 1.0;
+    }
+    if p >= 1.0 {
+        return 0.0;
+    }
+    let odds = (p / (1.0 - p)).ln();
+    let mut term = calls as f64 * (1.0 - p).ln();
+    let mut sum = term.exp();
+    for k in 0..bad {
+        term += ((calls - k) as f64 / (k + 1) as f64).ln() + odds;
+        sum += term.exp();
+    }
+    sum.min(1.0)
+}
+
+/// A confirmed fault of the new version.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Condemned {
+    /// The entry; `None` when only all entries together show the fault.
+    pub entry: Option<EntryName>,
+    /// Kind of fault.
+    pub fault: Fault,
+    /// Share of the new version's calls that were bad, as a fraction.
+    pub share: f64,
+}
+
+impl Condemned {
+    /// The reason as it is recorded and reported.
+    pub fn reason(&self) -> SmolStr {
+        let percent = (self.share * 100.0).round();
+        match &self.entry {
+            Some(entry) => SmolStr::new(format!("{} on entry {entry}: {percent}%", self.fault)),
+            None => SmolStr::new(format!("{} over all entries: {percent}%", self.fault)),
+        }
+    }
+}
+
+/// Judges one move.
+#[derive(Clone, Debug, Default)]
+pub struct Judge {
+    entries: BTreeMap<EntryName, Watch>,
+    together: Watch,
+    runs: BTreeMap<SmolStr, Millis>,
+}
+
+/// Which slow calls of the new version count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WarmUp {
+    /// Time after the first call on the new version.
+    pub first: Millis,
+    /// End of the time after the present stage began.
+    pub stage_until: Millis,
+}
+
+impl Judge {
+    /// Adds counts of the old version.
+    pub fn add_old(
+        &mut self,
+        now: Millis,
+        entry: &EntryName,
+        counts: &OutcomeCounts,
+        objective: Millis,
+    ) {
+        let watch = self.entries.entry(entry.clone()).or_default();
+        watch.latency.add(&counts.latency);
+        let due = watch.slow_bucket.is_none() || watch.latency_calls < LIMIT_CALLS;
+        let calls = watch.latency_calls + counts.latency.count();
+        watch.latency_calls = calls;
+        if due {
+            watch.slow_bucket = Some(slow_bucket(&watch.latency, calls, objective));
+        }
+        let tally = tally(counts, watch.slow_bucket);
+        watch.add_old(now, &tally);
+        self.together.add_old(now, &tally);
+    }
+
+    /// Adds counts of the new version. `settled` is false for counts whose time is unknown.
+    pub fn add_new(
+        &mut self,
+        now: Millis,
+        entry: &EntryName,
+        counts: &OutcomeCounts,
+        objective: Millis,
+        warm_up: WarmUp,
+        settled: bool,
+    ) {
+        let watch = self.entries.entry(entry.clone()).or_default();
+        let bucket = watch
+            .slow_bucket
+            .unwrap_or_else(|| slow_bucket(&watch.latency, watch.latency_calls, objective));
+        let mut tally = tally(counts, Some(bucket));
+        let first = *watch.first_new.get_or_insert(now);
+        if !settled || now.since(first) < warm_up.first || now < warm_up.stage_until {
+            tally.timed = 0;
+            tally.slow = 0;
+        }
+        watch.add_new(now, &tally);
+        self.together.add_new(now, &tally);
+    }
+
+    /// Notes that a node saw a run of failures of the new version. Runs of two nodes within ten
+    /// seconds raise the same suspicion as a run over the fleet.
+    pub fn add_run(&mut self, now: Millis, node: &str) {
+        self.runs.insert(SmolStr::new(node), now);
+        self.runs.retain(|_, at| now.since(*at) < Millis(10_000));
+        if self.runs.len() >= 2 && self.together.run < RUN_LENGTH {
+            self.together.run = RUN_LENGTH;
+            self.together.run_at = now;
+        }
+    }
+
+    /// Calls of the new version that ran, and calls of both versions.
+    pub fn calls(&self) -> (u64, u64) {
+        (self.together.new_calls, self.together.baseline.calls + self.together.new_calls)
+    }
+
+    /// Whether a suspicion is open.
+    pub fn is_suspicious(&self) -> bool {
+        self.entries.values().chain([&self.together]).any(Watch::is_suspicious)
+    }
+
+    /// Looks at all counts added since the last look.
+    pub fn judge(&mut self, now: Millis, thresholds: &Thresholds) -> Option<Condemned> {
+        for (entry, watch) in &mut self.entries {
+            watch.advance(now, thresholds, false);
+            if let Some((fault, share)) = watch.verdict(now) {
+                return Some(Condemned { entry: Some(entry.clone()), fault, share });
+            }
+        }
+        self.together.advance(now, thresholds, true);
+        let (fault, share) = self.together.verdict(now)?;
+        Some(Condemned { entry: None, fault, share })
+    }
+}
+
+impl Watch {
+    fn is_suspicious(&self) -> bool {
+        self.run_crossed_at.is_some() || self.scores.iter().any(|s| s.crossed_at.is_some())
+    }
+}
+
+fn tally(counts: &OutcomeCounts, slow_bucket: Option<usize>) -> Tally {
+    let limit = slow_bucket.unwrap_or(LATENCY_BUCKETS);
+    let buckets = counts.latency.buckets();
+    Tally {
+        calls: counts.calls,
+        refused: counts.refused,
+        failures: counts.failures,
+        timed: buckets.iter().sum(),
+        slow: buckets.iter().skip(limit).sum(),
+    }
+}
+
+/// First bucket whose calls count as slow: beyond twice the old version's 90% quantile, or beyond
+/// the objective when the old version keeps that and it is lower.
+fn slow_bucket(latency: &LatencyHistogram, calls: u64, objective: Millis) -> usize {
+    let limit = objective.0 as f64 * 1000.0;
+    let of_objective = (0..LATENCY_BUCKETS)
+        .find(|i| LatencyHistogram::bound_micros(*i) > limit)
+        .unwrap_or(LATENCY_BUCKETS);
+    if calls < LATENCY_CALLS {
+        return of_objective;
+    }
+    let rank = (calls as f64 * 0.9).ceil() as u64;
+    let mut seen = 0;
+    let of_quantile = latency.buckets().iter().position(|n| {
+        seen += n;
+        seen >= rank
+    });
+    let of_quantile = of_quantile.unwrap_or(LATENCY_BUCKETS);
+    // Two buckets are a factor of two.
+    let twice = of_quantile + 3;
+    if of_objective > of_quantile + 1 { twice.min(of_objective) } else { twice }
+}
--- a/crates/ibisroute/src/wire.rs
+++ b/crates/ibisroute/src/wire.rs
@@ -293,6 +293,8 @@
     pub incarnation: u64,
     /// Counters by entry and version.
     pub counts: Vec<(SmolStr, SmolStr, OutcomeCounts)>,
+    /// Runs of consecutive failures of the new version that the node saw, cumulative.
+    pub failure_runs: u64,
 }
 
 /// A claim of an idempotency key.
