Route control work to the actors

Cause: traffic threads and listeners share one channel to the control thread. Change: node/control.rs takes each kind of work to the actor that owns it. Result: not compiled into the library yet; it needs the membership and traffic modules. Conclusion: none yet.

--- /dev/null
+++ b/crates/ibisroute/src/node/control.rs
@@ -0,0 +1,138 @@
+//! Takes work from the channel of the traffic threads and listeners to the actors that own it.
+
+use actix::Addr;
+use actix::Recipient;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use super::handle::ControlWork;
+use super::messages::CountsCollected;
+use super::targets::Announce;
+use super::targets::Leave;
+use super::targets::Observed;
+use super::targets::TargetsActor;
+use crate::claims::actor::Claim;
+use crate::claims::actor::ClaimsActor;
+use crate::claims::actor::Origin;
+use crate::claims::actor::RecordResult;
+use crate::claims::actor::ReleaseClaim;
+use crate::distribution::actor::DistributionActor;
+use crate::distribution::actor::DistributionRequest;
+use crate::membership::actor::JoinRequest;
+use crate::membership::actor::MembershipActor;
+use crate::membership::target::TargetEvent;
+use crate::moves::actor::FailureRunSeen;
+use crate::moves::actor::MovesActor;
+use crate::moves::actor::MovesRequest;
+use crate::uploads::actor::StoreUpload;
+use crate::uploads::actor::UploadsActor;
+use crate::wire::ControlReply;
+use crate::wire::ControlRequest;
+
+/// The actors of the control thread.
+#[derive(Clone)]
+pub struct ControlActors {
+    /// Membership.
+    pub membership: Addr<MembershipActor>,
+    /// Distribution.
+    pub distribution: Addr<DistributionActor>,
+    /// Moves.
+    pub moves: Addr<MovesActor>,
+    /// Claims.
+    pub claims: Addr<ClaimsActor>,
+    /// Stored uploads.
+    pub uploads: Addr<UploadsActor>,
+    /// Targets beside the node.
+    pub targets: Addr<TargetsActor>,
+    /// Takers of what the traffic threads counted.
+    pub counts: Vec<Recipient<CountsCollected>>,
+}
+
+impl ControlActors {
+    /// Takes work until every sender of the channel is gone.
+    pub async fn run(self, mut rx: mpsc::UnboundedReceiver<ControlWork>) {
+        while let Some(work) = rx.recv().await {
+            self.take(work);
+        }
+    }
+
+    fn take(&self, work: ControlWork) {
+        match work {
+            ControlWork::Peer { request, reply } => self.peer(request, reply),
+            ControlWork::Claim { claim, reply } => {
+                self.claims.do_send(Claim { claim, origin: Origin::Local, reply });
+            }
+            ControlWork::RecordResult { claim, result } => {
+                self.claims.do_send(RecordResult { claim, origin: Origin::Local, result });
+            }
+            ControlWork::ReleaseClaim(claim) => {
+                self.claims.do_send(ReleaseClaim { claim, origin: Origin::Local });
+            }
+            ControlWork::Counts(counts) => {
+                let counts = CountsCollected(std::sync::Arc::new(counts));
+                self.counts.iter().for_each(|r| r.do_send(counts.clone()));
+            }
+            ControlWork::FailureRun(id) => self.moves.do_send(FailureRunSeen(id)),
+            ControlWork::Announce { target, reply } => {
+                self.targets.do_send(Announce { target, reply });
+            }
+            ControlWork::Leave { instance, reply } => {
+                self.targets.do_send(Leave { instance, reply });
+            }
+            ControlWork::TargetReachable { instance, reachable } => {
+                self.targets.do_send(Observed(TargetEvent::Reachable { instance, reachable }));
+            }
+            ControlWork::TargetIdle(instance) => {
+                self.targets.do_send(Observed(TargetEvent::Idle(instance)));
+            }
+            ControlWork::StoreUpload { meta, body, reply } => {
+                self.uploads.do_send(StoreUpload { meta, body, reply });
+            }
+        }
+    }
+
+    fn peer(&self, request: ControlRequest, reply: oneshot::Sender<ControlReply>) {
+        match request {
+            ControlRequest::Join(record) => {
+                forward(self.membership.send(JoinRequest(record)), reply);
+            }
+            ControlRequest::FetchCatalogue { .. } | ControlRequest::FetchHead => {
+                forward(self.distribution.send(DistributionRequest(request)), reply);
+            }
+            ControlRequest::FetchMoves | ControlRequest::Evidence(_) => {
+                forward(self.moves.send(MovesRequest(request)), reply);
+            }
+            ControlRequest::Claim(claim) => self.peer_claim(claim, reply),
+            ControlRequest::RecordResult { claim, result } => {
+                self.claims.do_send(RecordResult { claim, origin: Origin::Peer, result });
+                let _ = reply.send(ControlReply::Done);
+            }
+            ControlRequest::ReleaseClaim(claim) => {
+                self.claims.do_send(ReleaseClaim { claim, origin: Origin::Peer });
+                let _ = reply.send(ControlReply::Done);
+            }
+        }
+    }
+
+    fn peer_claim(&self, claim: crate::wire::ClaimWire, reply: oneshot::Sender<ControlReply>) {
+        let (tx, rx) = oneshot::channel();
+        self.claims.do_send(Claim { claim, origin: Origin::Peer, reply: tx });
+        actix::spawn(async move {
+            if let Ok(outcome) = rx.await {
+                let _ = reply.send(ControlReply::Claim(outcome));
+            }
+        });
+    }
+}
+
+/// Passes an actor's reply on. The peer may be gone; an actor that has ended gives no reply.
+fn forward<F>(request: F, reply: oneshot::Sender<ControlReply>)
+where
+    F: Future<Output = Result<ControlReply, actix::MailboxError>> + 'static,
+{
+    actix::spawn(async move {
+        if let Ok(answer) = request.await {
+            let _ = reply.send(answer);
+        }
+    });
+}
