Add membership, distribution and the control socket

Cause: nodes need to know each other, the head of the configuration and its bodies before they can carry calls. Change: pure state machines for membership, local targets and distribution, their actors, settings, events and the UDP control socket.

--- /dev/null
+++ b/crates/ibisroute/src/membership/actor.rs
@@ -0,0 +1,497 @@
+//! Drives the membership state machine with timers, the control socket, peers and the table.
+
+use std::collections::VecDeque;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix::Actor;
+use actix::ActorFutureExt;
+use actix::AsyncContext;
+use actix::Context;
+use actix::Handler;
+use actix::Message;
+use actix::MessageResult;
+use actix::Recipient;
+use actix::ResponseActFuture;
+use actix::WrapFuture;
+use metrics::counter;
+use metrics::gauge;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use super::membership_settings::MembershipSettings;
+use super::record::MemberRecord;
+use super::record::MemberView;
+use super::state::Action;
+use super::state::Event;
+use super::state::State;
+use crate::events;
+use crate::events::membership as codes;
+use crate::node::messages::DatagramReceived;
+use crate::node::messages::HeadLearned;
+use crate::node::messages::LocalTargets;
+use crate::node::messages::MembersChanged;
+use crate::node::messages::MovesChanged;
+use crate::node::messages::PeerHead;
+use crate::node::messages::PeerMovesDiffer;
+use crate::peers::ControlTransport;
+use crate::peers::datagram::ControlSocket;
+use crate::platform::Platform;
+use crate::platform::model::Put;
+use crate::platform::model::Row;
+use crate::platform::model::Transaction;
+use crate::types::Millis;
+use crate::wire::ControlReply;
+use crate::wire::ControlRequest;
+use crate::wire::Datagram;
+use crate::wire::MemberRecordWire;
+
+/// Prefix of the table keys of entry points.
+const ENTRY_PREFIX: &str = "node/";
+
+/// What the actor needs at its start.
+pub struct MembershipParts {
+    /// This node's record: incarnation, addresses, no targets yet.
+    pub local: MemberRecord,
+    /// Settings.
+    pub settings: MembershipSettings,
+    /// Seed of all jitter and choices.
+    pub seed: u64,
+    /// Table with the entry points.
+    pub platform: Rc<dyn Platform>,
+    /// Join requests to peers.
+    pub transport: Rc<dyn ControlTransport>,
+    /// Control datagrams.
+    pub socket: Rc<ControlSocket>,
+}
+
+/// Adds subscribers; they get the present view at once.
+#[derive(Clone, Debug, Default, Message)]
+#[rtype(result = "()")]
+pub struct SubscribeMembership {
+    /// Get each changed view.
+    pub members: Vec<Recipient<MembersChanged>>,
+    /// Get heads of peers that differ from this node's.
+    pub heads: Vec<Recipient<PeerHead>>,
+    /// Told when a peer's move states differ.
+    pub moves: Vec<Recipient<PeerMovesDiffer>>,
+}
+
+/// A peer's `Join`.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "ControlReply")]
+pub struct ServeJoin(pub MemberRecordWire);
+
+/// Asks for the present view.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "MemberView")]
+pub struct QueryMembers;
+
+/// Announces that this node leaves; resolves when the announcement has been spread.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct Leave;
+
+/// Outcome of a join request.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct JoinEnded {
+    peer: SocketAddr,
+    members: Result<Vec<MemberRecordWire>, String>,
+}
+
+/// Entry points read from the table; `None` when the table did not answer.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct EntryPointsRead(Option<Vec<Row>>);
+
+/// Whether the entry-point row was written.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct EntryPointWritten(bool);
+
+/// The entry-point row.
+#[derive(Serialize, Deserialize)]
+struct EntryPoint {
+    peer: SocketAddr,
+}
+
+/// The membership actor; lives on the control thread.
+pub struct MembershipActor {
+    parts: MembershipParts,
+    state: State,
+    rng: SmallRng,
+    started: Instant,
+    subscribers: SubscribeMembership,
+    changed: bool,
+    published_at: Option<Millis>,
+    published: Option<Arc<MemberView>>,
+    transfers: VecDeque<Millis>,
+    joins_running: usize,
+    read_at: Option<Millis>,
+    read_failures: u32,
+    write_at: Option<Millis>,
+    write_failures: u32,
+    leaving: bool,
+}
+
+impl MembershipActor {
+    /// An actor that knows no peers yet.
+    pub fn new(parts: MembershipParts) -> Self {
+        let state = State::new(parts.local.clone(), parts.settings.clone(), parts.seed);
+        Self {
+            rng: SmallRng::seed_from_u64(parts.seed.wrapping_add(1)),
+            parts,
+            state,
+            started: Instant::now(),
+            subscribers: SubscribeMembership::default(),
+            changed: true,
+            published_at: None,
+            published: None,
+            transfers: VecDeque::new(),
+            joins_running: 0,
+            read_at: Some(Millis(0)),
+            read_failures: 0,
+            write_at: Some(Millis(0)),
+            write_failures: 0,
+            leaving: false,
+        }
+    }
+
+    fn now(&self) -> Millis {
+        Millis::from(self.started.elapsed())
+    }
+
+    fn step(&mut self, event: Event, cx: &mut Context<Self>) {
+        let now = self.now();
+        let actions = self.state.step(now, event);
+        for action in actions {
+            self.perform(action, cx);
+        }
+    }
+
+    fn perform(&mut self, action: Action, cx: &mut Context<Self>) {
+        match action {
+            Action::Send { to, datagram } => {
+                self.parts.socket.send(to, &Datagram::Member(datagram));
+            }
+            Action::Sync(peer) => self.join(peer, cx),
+            Action::Changed => self.changed = true,
+            Action::PeerHead { node, peer_addr, head } => {
+                let msg = PeerHead { node, peer_addr, head };
+                self.subscribers.heads.iter().for_each(|r| r.do_send(msg.clone()));
+            }
+            Action::PeerMovesDiffer(peer_addr) => {
+                let msg = PeerMovesDiffer { peer_addr };
+                self.subscribers.moves.iter().for_each(|r| r.do_send(msg.clone()));
+            }
+            Action::Log(code, detail) => events::emit(code, format_args!("{detail}")),
+        }
+    }
+
+    fn tick(&mut self, cx: &mut Context<Self>) {
+        self.step(Event::Tick, cx);
+        let now = self.now();
+        self.publish(now);
+        if self.leaving {
+            return;
+        }
+        if self.read_at.is_some_and(|t| now >= t) {
+            self.read_at = None;
+            self.read_entry_points(cx);
+        }
+        if self.write_at.is_some_and(|t| now >= t) {
+            self.write_at = None;
+            self.write_entry_point(cx);
+        }
+    }
+
+    fn publish(&mut self, now: Millis) {
+        let period = self.parts.settings.publish_period_ms;
+        if !self.changed || self.published_at.is_some_and(|t| now.since(t).0 < period) {
+            return;
+        }
+        self.changed = false;
+        let view = self.state.view();
+        if self.published.as_deref() == Some(&view) {
+            return;
+        }
+        gauge!("ibis_members_live").set(view.live().count() as f64);
+        let view = Arc::new(view);
+        self.published_at = Some(now);
+        self.published = Some(view.clone());
+        for subscriber in &self.subscribers.members {
+            subscriber.do_send(MembersChanged(view.clone()));
+        }
+    }
+
+    /// Runs a request and sends its outcome to this actor.
+    fn run<M>(&self, cx: &mut Context<Self>, future: impl Future<Output = M> + 'static)
+    where
+        M: Message<Result = ()> + Send + 'static,
+        Self: Handler<M>,
+    {
+        let addr = cx.address();
+        cx.spawn(async move { addr.do_send(future.await) }.into_actor(self));
+    }
+
+    fn retry_at(&mut self, failures: u32) -> Millis {
+        let settings = &self.parts.settings;
+        let bound = (settings.retry_min_ms << failures.min(16)).min(settings.retry_max_ms);
+        Millis(self.now().0 + self.rng.random_range(0..=bound))
+    }
+
+    /// Reads rows from a random position; a second read from the start makes up for a position
+    /// near the end.
+    fn read_entry_points(&mut self, cx: &mut Context<Self>) {
+        let limit = self.parts.settings.entry_rows;
+        let letter = char::from(self.rng.random_range(b'a'..=b'z'));
+        let known = self.published.as_ref().map_or(0, |v| v.members.len());
+        let position = match self.published.as_deref().filter(|_| known > 1) {
+            Some(view) => view.members[self.rng.random_range(0..known)].node.to_string(),
+            None => random_position(letter, &mut self.rng),
+        };
+        let after = format!("{ENTRY_PREFIX}{position}");
+        let timeout = Duration::from_millis(self.parts.settings.platform_timeout_ms);
+        let platform = self.parts.platform.clone();
+        self.run(cx, async move {
+            let read = async {
+                let mut rows = platform.scan(ENTRY_PREFIX, &after, limit).await?;
+                if rows.len() < limit {
+                    rows.extend(platform.scan(ENTRY_PREFIX, "", limit - rows.len()).await?);
+                }
+                Ok::<_, crate::platform::model::PlatformError>(rows)
+            };
+            EntryPointsRead(tokio::time::timeout(timeout, read).await.ok().and_then(Result::ok))
+        });
+    }
+
+    fn write_entry_point(&mut self, cx: &mut Context<Self>) {
+        let local = self.state.local();
+        let key = SmolStr::new(format!("{ENTRY_PREFIX}{}", local.node));
+        let entry = EntryPoint { peer: local.addresses.peer };
+        let value = serde_json::to_value(entry).unwrap_or_default();
+        let transaction = Transaction { puts: vec![Put { key, value }], ..Transaction::default() };
+        let timeout = Duration::from_millis(self.parts.settings.platform_timeout_ms);
+        let write = tokio::time::timeout(timeout, self.parts.platform.transact(transaction));
+        self.run(cx, async move { EntryPointWritten(matches!(write.await, Ok(Ok(_)))) });
+    }
+
+    fn join(&mut self, peer: SocketAddr, cx: &mut Context<Self>) {
+        if self.joins_running >= self.parts.settings.join_peers || self.leaving {
+            return;
+        }
+        self.joins_running += 1;
+        counter!("ibis_membership_joins_total").increment(1);
+        let record = MemberRecordWire::from(self.state.local());
+        let timeout = Millis(self.parts.settings.join_timeout_ms);
+        let reply = self.parts.transport.request(peer, ControlRequest::Join(record), timeout);
+        self.run(cx, async move {
+            let members = match reply.await {
+                Ok(ControlReply::Members(members)) => Ok(members),
+                Ok(ControlReply::Busy) => Err("peer is busy".to_string()),
+                Ok(_) => Err("unexpected reply".to_string()),
+                Err(e) => Err(e.to_string()),
+            };
+            JoinEnded { peer, members }
+        });
+    }
+
+    /// Whether one more state transfer may run now. A transfer counts for a fixed time, because
+    /// its end is not visible here.
+    fn admit_transfer(&mut self) -> bool {
+        let now = self.now();
+        let slot = self.parts.settings.transfer_slot_ms;
+        self.transfers.retain(|start| now.since(*start).0 < slot);
+        if self.transfers.len() >= self.parts.settings.transfers_max {
+            return false;
+        }
+        self.transfers.push_back(now);
+        true
+    }
+}
+
+/// A node id that no node needs to have, spread evenly enough over usual names.
+fn random_position(letter: char, rng: &mut SmallRng) -> String {
+    let number: u32 = rng.random();
+    format!("{letter}{number:08x}")
+}
+
+impl Actor for MembershipActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, cx: &mut Self::Context) {
+        // Full jitter: after a mass restart neither peers nor the table see all nodes at once.
+        let jitter = self.parts.settings.retry_min_ms;
+        self.read_at = Some(Millis(self.rng.random_range(0..=jitter)));
+        self.write_at = Some(Millis(self.rng.random_range(0..=jitter)));
+        cx.set_mailbox_capacity(1024);
+        let period = Duration::from_millis(self.parts.settings.tick_period_ms);
+        cx.run_interval(period, |actor, cx| actor.tick(cx));
+    }
+}
+
+impl Handler<EntryPointsRead> for MembershipActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: EntryPointsRead, cx: &mut Self::Context) {
+        let Some(rows) = msg.0 else {
+            self.read_at = Some(self.retry_at(self.read_failures));
+            self.read_failures += 1;
+            counter!("ibis_membership_entry_failures_total").increment(1);
+            if self.read_failures == 1 {
+                events::emit(&codes::ENTRY_POINT_FAILED, format_args!("rows were not read"));
+            }
+            return;
+        };
+        let own = self.state.local().addresses.peer;
+        let entries = rows.iter().filter_map(|r| EntryPoint::deserialize(&r.value).ok());
+        let mut peers: Vec<SocketAddr> = entries.map(|e| e.peer).filter(|p| *p != own).collect();
+        peers.sort();
+        peers.dedup();
+        peers.shuffle(&mut self.rng);
+        let joined = self.state.has_joined();
+        let live: Vec<SocketAddr> = self.state.view().live().map(|m| m.addresses.peer).collect();
+        // A node that has joined looks only for nodes that it does not know: a group that was cut
+        // off for longer than dead records are kept.
+        peers.retain(|p| !joined || !live.contains(p));
+        let alone = peers.is_empty() && live.len() == 1;
+        let count = if joined { 1 } else { self.parts.settings.join_peers };
+        for peer in peers.into_iter().take(count) {
+            self.join(peer, cx);
+        }
+        let settled = joined && !alone;
+        if settled {
+            self.read_failures = 0;
+            let period = self.parts.settings.entry_refresh_ms;
+            let jitter = self.rng.random_range(0..=period / 5);
+            self.read_at = Some(Millis(self.now().0 + period * 9 / 10 + jitter));
+        } else {
+            self.read_at = Some(self.retry_at(self.read_failures));
+            self.read_failures += 1;
+        }
+    }
+}
+
+impl Handler<EntryPointWritten> for MembershipActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: EntryPointWritten, _: &mut Self::Context) {
+        if !msg.0 {
+            self.write_at = Some(self.retry_at(self.write_failures));
+            self.write_failures += 1;
+            return;
+        }
+        self.write_failures = 0;
+        let period = self.parts.settings.entry_refresh_ms;
+        let jitter = self.rng.random_range(0..=period / 5);
+        self.write_at = Some(Millis(self.now().0 + period * 9 / 10 + jitter));
+    }
+}
+
+impl Handler<JoinEnded> for MembershipActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: JoinEnded, cx: &mut Self::Context) {
+        self.joins_running = self.joins_running.saturating_sub(1);
+        match msg.members {
+            Ok(members) => {
+                let detail = format!("{} records from {}", members.len(), msg.peer);
+                events::emit(&codes::JOINED, format_args!("{detail}"));
+                self.step(Event::State(members), cx);
+            }
+            Err(reason) => {
+                counter!("ibis_membership_join_failures_total").increment(1);
+                events::emit(&codes::JOIN_FAILED, format_args!("{}: {reason}", msg.peer));
+            }
+        }
+    }
+}
+
+impl Handler<ServeJoin> for MembershipActor {
+    type Result = MessageResult<ServeJoin>;
+
+    fn handle(&mut self, msg: ServeJoin, cx: &mut Self::Context) -> Self::Result {
+        self.step(Event::Joined(msg.0), cx);
+        if self.leaving || !self.admit_transfer() {
+            counter!("ibis_membership_busy_total").increment(1);
+            return MessageResult(ControlReply::Busy);
+        }
+        MessageResult(ControlReply::Members(self.state.full_state()))
+    }
+}
+
+impl Handler<SubscribeMembership> for MembershipActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: SubscribeMembership, _: &mut Self::Context) {
+        let view = Arc::new(self.state.view());
+        msg.members.iter().for_each(|r| r.do_send(MembersChanged(view.clone())));
+        self.subscribers.members.extend(msg.members);
+        self.subscribers.heads.extend(msg.heads);
+        self.subscribers.moves.extend(msg.moves);
+    }
+}
+
+impl Handler<QueryMembers> for MembershipActor {
+    type Result = MessageResult<QueryMembers>;
+
+    fn handle(&mut self, _: QueryMembers, _: &mut Self::Context) -> Self::Result {
+        MessageResult(self.state.view())
+    }
+}
+
+impl Handler<DatagramReceived> for MembershipActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: DatagramReceived, cx: &mut Self::Context) {
+        if let Datagram::Member(datagram) = msg.datagram {
+            self.step(Event::Received(datagram), cx);
+        }
+    }
+}
+
+impl Handler<HeadLearned> for MembershipActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: HeadLearned, cx: &mut Self::Context) {
+        self.step(Event::Head(msg.0), cx);
+    }
+}
+
+impl Handler<MovesChanged> for MembershipActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: MovesChanged, cx: &mut Self::Context) {
+        self.step(Event::MovesHash(msg.hash), cx);
+    }
+}
+
+impl Handler<LocalTargets> for MembershipActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: LocalTargets, cx: &mut Self::Context) {
+        self.step(Event::LocalTargets(msg.0), cx);
+    }
+}
+
+impl Handler<Leave> for MembershipActor {
+    type Result = ResponseActFuture<Self, ()>;
+
+    fn handle(&mut self, _: Leave, cx: &mut Self::Context) -> Self::Result {
+        self.leaving = true;
+        self.step(Event::Leave, cx);
+        let wait = Duration::from_millis(self.parts.settings.leave_ms);
+        let future = tokio::time::sleep(wait).into_actor(self);
+        Box::pin(future.map(|(), _, _| ()))
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/src/membership/merge.rs
@@ -0,0 +1,30 @@
+//! The merge rule of member records: a total order, of which the greater record wins.
+
+use std::cmp::Ordering;
+
+use super::record::MemberRecord;
+use crate::wire;
+use crate::wire::MemberRecordWire;
+
+/// Orders two records of one node: by incarnation, revision and status. Records that differ
+/// otherwise come from a fault; their encoding decides, so that all nodes keep the same one.
+pub fn compare(a: &MemberRecord, b: &MemberRecord) -> Ordering {
+    let key = |r: &MemberRecord| (r.incarnation, r.revision, r.status);
+    key(a)
+        .cmp(&key(b))
+        .then_with(|| if a == b { Ordering::Equal } else { encoding(a).cmp(&encoding(b)) })
+}
+
+/// Whether `new` replaces `old`.
+pub fn supersedes(new: &MemberRecord, old: &MemberRecord) -> bool {
+    compare(new, old) == Ordering::Greater
+}
+
+/// The record that two nodes keep after exchanging `a` and `b`.
+pub fn merge(a: MemberRecord, b: MemberRecord) -> MemberRecord {
+    if supersedes(&b, &a) { b } else { a }
+}
+
+fn encoding(record: &MemberRecord) -> Vec<u8> {
+    wire::encode(&MemberRecordWire::from(record), wire::MAX_CONTROL_BYTES).unwrap_or_default()
+}
--- a/crates/ibisroute/src/peers/mod.rs
+++ b/crates/ibisroute/src/peers/mod.rs
@@ -1,5 +1,7 @@
 //! Streams between nodes: h2 connections, control requests and calls.
 
+pub mod datagram;
+
 use std::net::SocketAddr;
 
 use derive_more::Display;
