Spread the reads of entry points

Cause: nodes that start together may see only one another's rows, and a random letter nearly always wraps to the same first rows. Change: read from the own id with other digits, again with growing gaps.

--- a/crates/ibisroute/src/membership/actor.rs
+++ b/crates/ibisroute/src/membership/actor.rs
@@ -139,6 +139,7 @@
     joins_running: usize,
     read_at: Option<Millis>,
     read_failures: u32,
+    read_gap_ms: u64,
     write_at: Option<Millis>,
     write_failures: u32,
     leaving: bool,
@@ -150,6 +151,7 @@
         let state = State::new(parts.local.clone(), parts.settings.clone(), parts.seed);
         Self {
             rng: SmallRng::seed_from_u64(parts.seed.wrapping_add(1)),
+            read_gap_ms: parts.settings.read_gap_min_ms,
             parts,
             state,
             started: Instant::now(),
@@ -250,16 +252,19 @@
         Millis(self.now().0 + self.rng.random_range(0..=bound))
     }
 
+    /// Reads go on after the first join with growing gaps: nodes that started together may have
+    /// seen only one another's rows.
+    fn next_read(&mut self) -> Millis {
+        let gap = self.read_gap_ms;
+        self.read_gap_ms = (gap * 4).min(self.parts.settings.entry_refresh_ms);
+        Millis(self.now().0 + gap * 9 / 10 + self.rng.random_range(0..=gap / 5))
+    }
+
     /// Reads rows from a random position; a second read from the start makes up for a position
     /// near the end.
     fn read_entry_points(&mut self, cx: &mut Context<Self>) {
         let limit = self.parts.settings.entry_rows;
-        let letter = char::from(self.rng.random_range(b'a'..=b'z'));
-        let known = self.published.as_ref().map_or(0, |v| v.members.len());
-        let position = match self.published.as_deref().filter(|_| known > 1) {
-            Some(view) => view.members[self.rng.random_range(0..known)].node.to_string(),
-            None => random_position(letter, &mut self.rng),
-        };
+        let position = random_position(self.state.local().node.as_str(), &mut self.rng);
         let after = format!("{ENTRY_PREFIX}{position}");
         let timeout = Duration::from_millis(self.parts.settings.platform_timeout_ms);
         let platform = self.parts.platform.clone();
@@ -320,10 +325,13 @@
     }
 }
 
-/// A node id that no node needs to have, spread evenly enough over usual names.
-fn random_position(letter: char, rng: &mut SmallRng) -> String {
-    let number: u32 = rng.random();
-    format!("{letter}{number:08x}")
+/// A position among the entry points: the own id with other digits, as node ids of one fleet usually
+/// differ in their digits only. Random letters would nearly always wrap to the same first rows.
+fn random_position(own: &str, rng: &mut SmallRng) -> String {
+    let mut digit = |c: char| {
+        if c.is_ascii_digit() { char::from(rng.random_range(b'0'..=b'9')) } else { c }
+    };
+    own.chars().map(&mut digit).collect()
 }
 
 impl Actor for MembershipActor {
@@ -331,9 +339,11 @@
 
     fn started(&mut self, cx: &mut Self::Context) {
         // Full jitter: after a mass restart neither peers nor the table see all nodes at once.
-        let jitter = self.parts.settings.retry_min_ms;
+        // Writes are spread more widely: the table takes fewer of them, and the row of the run
+        // before usually still holds.
+        let jitter = self.parts.settings.start_jitter_ms;
         self.read_at = Some(Millis(self.rng.random_range(0..=jitter)));
-        self.write_at = Some(Millis(self.rng.random_range(0..=jitter)));
+        self.write_at = Some(Millis(self.rng.random_range(0..=2 * jitter)));
         cx.set_mailbox_capacity(1024);
         let period = Duration::from_millis(self.parts.settings.tick_period_ms);
         cx.run_interval(period, |actor, cx| actor.tick(cx));
@@ -369,12 +379,9 @@
         for peer in peers.into_iter().take(count) {
             self.join(peer, cx);
         }
-        let settled = joined && !alone;
-        if settled {
+        if joined && !alone {
             self.read_failures = 0;
-            let period = self.parts.settings.entry_refresh_ms;
-            let jitter = self.rng.random_range(0..=period / 5);
-            self.read_at = Some(Millis(self.now().0 + period * 9 / 10 + jitter));
+            self.read_at = Some(self.next_read());
         } else {
             self.read_at = Some(self.retry_at(self.read_failures));
             self.read_failures += 1;
@@ -407,6 +414,9 @@
             Ok(members) => {
                 let detail = format!("{} records from {}", members.len(), msg.peer);
                 events::emit(&codes::JOINED, format_args!("{detail}"));
+                if !self.state.has_joined() {
+                    self.read_at = Some(self.next_read());
+                }
                 self.step(Event::State(members), cx);
             }
             Err(reason) => {
@@ -490,6 +500,11 @@
     fn handle(&mut self, _: Leave, cx: &mut Self::Context) -> Self::Result {
         self.leaving = true;
         self.step(Event::Leave, cx);
+        // Best effort: a row that stays only costs newcomers an attempt.
+        let key = SmolStr::new(format!("{ENTRY_PREFIX}{}", self.state.local().node));
+        let transaction = Transaction { deletes: vec![key], ..Transaction::default() };
+        let delete = self.parts.platform.transact(transaction);
+        cx.spawn(async move { drop(delete.await) }.into_actor(self));
         let wait = Duration::from_millis(self.parts.settings.leave_ms);
         let future = tokio::time::sleep(wait).into_actor(self);
         Box::pin(future.map(|(), _, _| ()))
--- a/crates/ibisroute/src/membership/membership_settings.rs
+++ b/crates/ibisroute/src/membership/membership_settings.rs
@@ -54,6 +54,10 @@
     pub entry_rows: usize,
     /// Period in which the entry-point row is refreshed, jittered by a tenth.
     pub entry_refresh_ms: u64,
+    /// Entry points are read within this time after the start, and written within twice this time.
+    pub start_jitter_ms: u64,
+    /// First gap between reads of entry points after the first join; grows fourfold.
+    pub read_gap_min_ms: u64,
     /// First upper bound of the jittered delay between attempts.
     pub retry_min_ms: u64,
     /// Last upper bound of the jittered delay between attempts.
@@ -104,6 +108,8 @@
             join_peers: 3,
             entry_rows: 32,
             entry_refresh_ms: 600_000,
+            start_jitter_ms: 500,
+            read_gap_min_ms: 1_000,
             retry_min_ms: 200,
             retry_max_ms: 2_000,
             platform_timeout_ms: 1_000,
