Wire the modules into a node

Cause: the modules need one process that starts, serves and drains. Result: does not compile yet: ctl/admin_model.rs and report/actor.rs are still being written. Conclusion: none yet.

--- /dev/null
+++ b/crates/ibisroute/src/bin/ibisrouted.rs
@@ -0,0 +1,63 @@
+//! The node: one process beside each target.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::Command;
+use clap::value_parser;
+use ibisroute::node::logging;
+use ibisroute::node::run;
+use ibisroute::settings::NodeSettings;
+
+/// Exit code for wrong settings.
+const INVALID_SETTINGS: u8 = 3;
+
+fn command() -> Command {
+    Command::new("ibisrouted")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Node of a service mesh: serves callers and the targets beside it")
+        .after_help(
+            "Examples:\n  ibisrouted --settings node.json\n  ibisrouted --settings node.json --check\n\n\
+             The bound addresses are printed as one JSON line on standard output.\n\
+             Exit codes: 0 stopped gracefully, 1 failed, 2 usage, 3 invalid settings.",
+        )
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Settings file (JSON)"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings and exit"),
+        )
+}
+
+fn main() -> ExitCode {
+    let args = command().get_matches();
+    let file = args.get_one::<PathBuf>("settings").expect("clap requires --settings");
+    let settings = match NodeSettings::load(file) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("error: {e}");
+            return ExitCode::from(INVALID_SETTINGS);
+        }
+    };
+    if args.get_flag("check") {
+        println!("settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    match logging::start(&settings.log).and_then(|()| run::run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("error: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/src/node/admin.rs
@@ -0,0 +1,259 @@
+//! HTTP for operators (`admin.listen`) and for the targets beside the node (`targets.listen`).
+
+use std::net::TcpListener;
+
+use actix::Addr;
+use actix_web::App;
+use actix_web::HttpResponse;
+use actix_web::HttpServer;
+use actix_web::dev::ServerHandle;
+use actix_web::error::InternalError;
+use actix_web::error::JsonPayloadError;
+use actix_web::http::StatusCode;
+use actix_web::web;
+use eyre::WrapErr;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::oneshot;
+
+use super::control::ControlActors;
+use super::handle::ControlWork;
+use super::handle::TargetAnnouncement;
+use super::run::NodeContext;
+use super::targets::QueryTargets;
+use crate::ctl::admin_model::EventsAnswer;
+use crate::ctl::admin_model::MembersAnswer;
+use crate::ctl::admin_model::MovesAnswer;
+use crate::ctl::admin_model::NodeState;
+use crate::ctl::admin_model::StatusAnswer;
+use crate::distribution::actor::QueryDistribution;
+use crate::events;
+use crate::membership::actor::QueryMembers;
+use crate::moves::actor::QueryMoves;
+use crate::report::actor::BurnActor;
+use crate::report::actor::QueryBurn;
+use crate::types::InstanceId;
+use crate::types::Millis;
+
+/// Threads of each of the two servers; both carry little.
+const WORKERS: usize = 1;
+
+/// Period in which the metrics recorder drops old samples.
+const METRICS_UPKEEP: Millis = Millis(5000);
+
+/// What the handlers work with.
+#[derive(Clone)]
+pub struct Admin {
+    /// The node.
+    pub cx: NodeContext,
+    /// Actors of the control thread.
+    pub actors: ControlActors,
+    /// The burn report.
+    pub burn: Addr<BurnActor>,
+}
+
+/// The running servers.
+pub struct AdminServers {
+    handles: Vec<ServerHandle>,
+}
+
+impl AdminServers {
+    /// Stops both servers at once.
+    pub async fn stop(self) {
+        for handle in self.handles {
+            handle.stop(false).await;
+        }
+    }
+}
+
+/// An error as JSON: `{"error": "..."}`.
+#[derive(Debug, Serialize)]
+struct ErrorAnswer {
+    error: String,
+}
+
+fn failure(status: StatusCode, error: impl ToString) -> HttpResponse {
+    HttpResponse::build(status).json(ErrorAnswer { error: error.to_string() })
+}
+
+/// The control thread has ended; the process is about to.
+fn ended(_: impl std::error::Error) -> HttpResponse {
+    failure(StatusCode::SERVICE_UNAVAILABLE, "the node is stopping")
+}
+
+/// Starts both servers. Must be called within an actix system.
+pub fn start(
+    admin: Admin,
+    operators: TcpListener,
+    targets: TcpListener,
+) -> eyre::Result<AdminServers> {
+    let metrics = PrometheusBuilder::new().install_recorder().wrap_err("metrics recorder")?;
+    actix::spawn(keep_metrics(metrics.clone()));
+    let operator_data = web::Data::new(admin.clone());
+    let metrics_data = web::Data::new(metrics);
+    let operators = HttpServer::new(move || {
+        App::new()
+            .app_data(operator_data.clone())
+            .app_data(metrics_data.clone())
+            .route("/status", web::get().to(status))
+            .route("/members", web::get().to(members))
+            .route("/moves", web::get().to(moves))
+            .route("/metrics", web::get().to(render_metrics))
+            .route("/report/burn", web::get().to(burn))
+            .route("/events", web::get().to(recent_events))
+            .route("/ready", web::get().to(ready))
+            .route("/drain", web::post().to(drain))
+    })
+    .workers(WORKERS)
+    .disable_signals()
+    .listen(operators)
+    .wrap_err("admin listener")?
+    .run();
+    let target_data = web::Data::new(admin);
+    let targets = HttpServer::new(move || {
+        App::new()
+            .app_data(target_data.clone())
+            .app_data(web::JsonConfig::default().error_handler(|e, _| malformed(e)))
+            .route("/targets/announce", web::post().to(announce))
+            .route("/targets/leave", web::post().to(leave))
+    })
+    .workers(WORKERS)
+    .disable_signals()
+    .listen(targets)
+    .wrap_err("targets listener")?
+    .run();
+    let handles = vec![operators.handle(), targets.handle()];
+    actix::spawn(operators);
+    actix::spawn(targets);
+    Ok(AdminServers { handles })
+}
+
+fn malformed(e: JsonPayloadError) -> actix_web::Error {
+    let res = failure(StatusCode::BAD_REQUEST, &e);
+    InternalError::from_response(e, res).into()
+}
+
+async fn keep_metrics(metrics: PrometheusHandle) {
+    let mut interval = tokio::time::interval(METRICS_UPKEEP.to_duration());
+    loop {
+        interval.tick().await;
+        metrics.run_upkeep();
+    }
+}
+
+async fn render_metrics(metrics: web::Data<PrometheusHandle>) -> HttpResponse {
+    HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(metrics.render())
+}
+
+impl Admin {
+    fn state(&self) -> NodeState {
+        let snapshot = self.cx.snapshot.load();
+        if snapshot.draining {
+            return NodeState::Draining;
+        }
+        if snapshot.config.is_none() { NodeState::Starting } else { NodeState::Serving }
+    }
+
+    async fn status(&self) -> Result<StatusAnswer, actix::MailboxError> {
+        let distribution = self.actors.distribution.send(QueryDistribution).await?;
+        let members = self.actors.membership.send(QueryMembers).await?;
+        let targets = self.actors.targets.send(QueryTargets).await?;
+        Ok(StatusAnswer::new(&self.cx, self.state(), &distribution, &members, &targets))
+    }
+}
+
+async fn status(admin: web::Data<Admin>) -> HttpResponse {
+    match admin.status().await {
+        Ok(answer) => HttpResponse::Ok().json(answer),
+        Err(e) => ended(e),
+    }
+}
+
+async fn members(admin: web::Data<Admin>) -> HttpResponse {
+    match admin.actors.membership.send(QueryMembers).await {
+        Ok(view) => HttpResponse::Ok().json(MembersAnswer { local: view.local, members: view.members }),
+        Err(e) => ended(e),
+    }
+}
+
+async fn moves(admin: web::Data<Admin>) -> HttpResponse {
+    match admin.actors.moves.send(QueryMoves).await {
+        Ok(moves) => HttpResponse::Ok().json(MovesAnswer { moves }),
+        Err(e) => ended(e),
+    }
+}
+
+async fn burn(admin: web::Data<Admin>) -> HttpResponse {
+    match admin.burn.send(QueryBurn).await {
+        Ok(report) => HttpResponse::Ok().json(report),
+        Err(e) => ended(e),
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct EventsQuery {
+    #[serde(default)]
+    after: u64,
+}
+
+async fn recent_events(query: web::Query<EventsQuery>) -> HttpResponse {
+    HttpResponse::Ok().json(EventsAnswer { events: events::since(query.after) })
+}
+
+async fn ready(admin: web::Data<Admin>) -> HttpResponse {
+    match admin.state() {
+        NodeState::Serving => HttpResponse::Ok().body("serving\n"),
+        state => HttpResponse::ServiceUnavailable().body(format!("{state}\n")),
+    }
+}
+
+async fn drain(admin: web::Data<Admin>) -> HttpResponse {
+    admin.cx.drain.notify_one();
+    HttpResponse::Accepted().finish()
+}
+
+async fn announce(
+    admin: web::Data<Admin>,
+    target: web::Json<TargetAnnouncement>,
+) -> HttpResponse {
+    let target = target.into_inner();
+    if target.slots == 0 || target.connections == 0 {
+        return failure(StatusCode::BAD_REQUEST, "slots and connections must be at least 1");
+    }
+    let (reply, rx) = oneshot::channel();
+    if let Err(e) = admin.cx.control.send(ControlWork::Announce { target, reply }) {
+        return ended(e);
+    }
+    match rx.await {
+        Ok(answer) => HttpResponse::Ok().json(answer),
+        Err(e) => ended(e),
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LeaveRequest {
+    instance: InstanceId,
+    /// Answer only when the calls in flight have ended (200); otherwise at once (202).
+    #[serde(default)]
+    wait: bool,
+}
+
+async fn leave(admin: web::Data<Admin>, req: web::Json<LeaveRequest>) -> HttpResponse {
+    let LeaveRequest { instance, wait } = req.into_inner();
+    let (reply, rx) = oneshot::channel();
+    if let Err(e) = admin.cx.control.send(ControlWork::Leave { instance, reply }) {
+        return ended(e);
+    }
+    if !wait {
+        return HttpResponse::Accepted().finish();
+    }
+    match rx.await {
+        Ok(true) => HttpResponse::Ok().finish(),
+        Ok(false) => failure(StatusCode::NOT_FOUND, "no such instance"),
+        Err(e) => ended(e),
+    }
+}
--- a/crates/ibisroute/src/node/control.rs
+++ b/crates/ibisroute/src/node/control.rs
@@ -17,9 +17,10 @@
 use crate::claims::actor::RecordResult;
 use crate::claims::actor::ReleaseClaim;
 use crate::distribution::actor::DistributionActor;
-use crate::distribution::actor::DistributionRequest;
-use crate::membership::actor::JoinRequest;
+use crate::distribution::actor::ServeCatalogue;
+use crate::distribution::actor::ServeHead;
 use crate::membership::actor::MembershipActor;
+use crate::membership::actor::ServeJoin;
 use crate::membership::target::TargetEvent;
 use crate::moves::actor::FailureRunSeen;
 use crate::moves::actor::MovesActor;
@@ -94,11 +95,12 @@
     fn peer(&self, request: ControlRequest, reply: oneshot::Sender<ControlReply>) {
         match request {
             ControlRequest::Join(record) => {
-                forward(self.membership.send(JoinRequest(record)), reply);
+                forward(self.membership.send(ServeJoin(record)), reply);
             }
-            ControlRequest::FetchCatalogue { .. } | ControlRequest::FetchHead => {
-                forward(self.distribution.send(DistributionRequest(request)), reply);
+            ControlRequest::FetchCatalogue { have, want } => {
+                forward(self.distribution.send(ServeCatalogue { have, want }), reply);
             }
+            ControlRequest::FetchHead => forward(self.distribution.send(ServeHead), reply),
             ControlRequest::FetchMoves | ControlRequest::Evidence(_) => {
                 forward(self.moves.send(MovesRequest(request)), reply);
             }
--- a/crates/ibisroute/src/node/handle.rs
+++ b/crates/ibisroute/src/node/handle.rs
@@ -13,6 +13,9 @@
 use crate::types::MoveId;
 use crate::types::ServiceName;
 use crate::types::VersionName;
+use crate::uploads::row::UploadMeta;
+use crate::uploads::store::BodyPart;
+use crate::uploads::store::StoreError;
 use crate::wire::ClaimReply;
 use crate::wire::ClaimWire;
 use crate::wire::ControlReply;
@@ -45,6 +48,15 @@
     },
     /// Releases the claim of a request that provably did not run.
     ReleaseClaim(ClaimWire),
+    /// Stores an upload that no target can take.
+    StoreUpload {
+        /// The upload.
+        meta: UploadMeta,
+        /// Its body; the channel's end is the body's end.
+        body: mpsc::Receiver<BodyPart>,
+        /// Takes the outcome; `Ok` means that the upload is durable.
+        reply: oneshot::Sender<Result<(), StoreError>>,
+    },
     /// What a traffic thread counted since its last report.
     Counts(TrafficCounts),
     /// A traffic thread saw a run of failures of a move's new version and stopped its own share.
--- a/crates/ibisroute/src/node/mod.rs
+++ b/crates/ibisroute/src/node/mod.rs
@@ -1,5 +1,11 @@
 //! One node: wires the modules into a process.
 
+pub mod admin;
+pub mod control;
 pub mod handle;
+pub mod listeners;
 pub mod logging;
 pub mod messages;
+pub mod run;
+pub mod targets;
+pub mod view;
--- a/crates/ibisroute/src/settings/mod.rs
+++ b/crates/ibisroute/src/settings/mod.rs
@@ -10,7 +10,15 @@
 use serde::Serialize;
 
 use crate::claims::claim_settings::ClaimSettings;
+use crate::distribution::distribution_settings::DistributionSettings;
+use crate::membership::membership_settings::MembershipSettings;
+use crate::moves::move_settings::MoveSettings;
 use crate::node::logging::LogSettings;
+use crate::node::targets::TargetSettings;
+use crate::peers::peer_settings::PeerSettings;
+use crate::platform::platform_settings::PlatformSettings;
+use crate::report::report_settings::ReportSettings;
+use crate::traffic::traffic_settings::TrafficSettings;
 use crate::types::DataCentre;
 use crate::types::NodeId;
 use crate::types::Region;
@@ -37,6 +45,30 @@
     /// Graceful stop.
     #[serde(default)]
     pub drain: DrainSettings,
+    /// The platform's table and object store.
+    #[serde(default)]
+    pub platform: PlatformSettings,
+    /// Membership and the life cycle of targets.
+    #[serde(default)]
+    pub membership: MembershipSettings,
+    /// Distribution of the configuration.
+    #[serde(default)]
+    pub distribution: DistributionSettings,
+    /// Calls.
+    #[serde(default)]
+    pub traffic: TrafficSettings,
+    /// Streams between nodes.
+    #[serde(default)]
+    pub peers: PeerSettings,
+    /// Moves.
+    #[serde(default)]
+    pub moves: MoveSettings,
+    /// Targets beside the node.
+    #[serde(default)]
+    pub targets: TargetSettings,
+    /// Service-level burn report.
+    #[serde(default)]
+    pub report: ReportSettings,
     /// Claims.
     #[serde(default)]
     pub claims: ClaimSettings,
