--- a/crates/ibisroute/src/events/traffic.rs
+++ b/crates/ibisroute/src/events/traffic.rs
@@ -1,6 +1,40 @@
 //! Event codes of `traffic`.
 
+use log::Level;
+
 use super::EventCode;
 
+/// A target beside the node refuses connections.
+pub const TARGET_UNREACHABLE: EventCode = EventCode {
+    number: 4001,
+    level: Level::Warn,
+    name: "target_unreachable",
+    meaning: "A target beside the node cannot be connected to; check that the target runs.",
+};
+
+/// A target beside the node accepts connections again.
+pub const TARGET_REACHABLE: EventCode = EventCode {
+    number: 4002,
+    level: Level::Info,
+    name: "target_reachable",
+    meaning: "A target beside the node accepts connections again.",
+};
+
+/// The node stopped its own share of a move.
+pub const SHARE_STOPPED: EventCode = EventCode {
+    number: 4003,
+    level: Level::Warn,
+    name: "share_stopped",
+    meaning: "The new version of a move failed several calls in a row; this node sends it no calls for a while.",
+};
+
+/// Traffic threads were stopped before all calls had ended.
+pub const DRAIN_CUT: EventCode = EventCode {
+    number: 4004,
+    level: Level::Error,
+    name: "drain_cut",
+    meaning: "The bound of a graceful stop was reached with calls in flight; raise the bound or look for calls without progress.",
+};
+
 /// Codes in the order of their numbers.
-pub const CODES: &[EventCode] = &[];
+pub const CODES: &[EventCode] = &[TARGET_UNREACHABLE, TARGET_REACHABLE, SHARE_STOPPED, DRAIN_CUT];
--- /dev/null
+++ b/crates/ibisroute/src/peers/client.rs
@@ -0,0 +1,338 @@
+//! Client side of the streams between nodes; one client per thread.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use derive_more::Display;
+use futures_util::future::LocalBoxFuture;
+use h2::Ping;
+use h2::PingPong;
+use h2::Reason;
+use h2::SendStream;
+use h2::client::ResponseFuture;
+use h2::client::SendRequest;
+use http::Request;
+use http::StatusCode;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use super::ADMITTED_HEADER;
+use super::CALL_PATH;
+use super::CONTROL_PATH;
+use super::ControlTransport;
+use super::PeerError;
+use super::frame;
+use super::peer_settings::PeerSettings;
+use super::task::OwnedTask;
+use crate::traffic::call::CallBody;
+use crate::traffic::call::CallReply;
+use crate::traffic::call::body_stream;
+use crate::types::Millis;
+use crate::wire;
+use crate::wire::CallHead;
+use crate::wire::ControlReply;
+use crate::wire::ControlRequest;
+use crate::wire::MAX_CONTROL_BYTES;
+use crate::wire::ReplyHead;
+
+/// Connections that carried nothing for this time are closed, so that a large fleet does not keep
+/// one connection for each pair of nodes.
+const IDLE: Duration = Duration::from_secs(30);
+
+/// Why a call got no reply.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum CallError {
+    /// Proved: the peer did not process the call.
+    #[display("call not sent: {_0}")]
+    NotSent(PeerError),
+    /// The call may have run.
+    #[display("call failed: {_0}")]
+    Failed(PeerError),
+}
+
+impl std::error::Error for CallError {}
+
+/// Pooled h2 connections to peers. Cheap to clone; stays on its thread.
+#[derive(Clone)]
+pub struct PeerClient {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    settings: PeerSettings,
+    slots: RefCell<HashMap<SocketAddr, Rc<Mutex<Slot>>>>,
+}
+
+/// The connection to one peer, and the last failure to make one.
+#[derive(Default)]
+struct Slot {
+    connection: Option<Rc<Connection>>,
+    failure: Option<(Instant, PeerError)>,
+}
+
+struct Connection {
+    sender: SendRequest<Bytes>,
+    usage: Rc<Usage>,
+}
+
+#[derive(Default)]
+struct Usage {
+    closed: Cell<bool>,
+    streams: Cell<usize>,
+    used: Notify,
+}
+
+/// Counts a stream on its connection; pings run while there is one.
+struct StreamGuard(Rc<Usage>);
+
+impl StreamGuard {
+    fn new(usage: Rc<Usage>) -> Self {
+        usage.streams.set(usage.streams.get() + 1);
+        usage.used.notify_one();
+        Self(usage)
+    }
+}
+
+impl Drop for StreamGuard {
+    fn drop(&mut self) {
+        self.0.streams.set(self.0.streams.get().saturating_sub(1));
+    }
+}
+
+impl PeerClient {
+    /// Makes a client without connections. Needs an actix system on the thread when used.
+    pub fn new(settings: PeerSettings) -> Self {
+        Self { inner: Rc::new(Inner { settings, slots: RefCell::default() }) }
+    }
+
+    /// Makes a call. Dropping the future, or the body of the reply, resets the stream.
+    pub async fn call(
+        &self,
+        addr: SocketAddr,
+        head: &CallHead,
+        body: CallBody,
+    ) -> Result<CallReply, CallError> {
+        let mut buf = frame::encode_head(head)
+            .map_err(|e| CallError::NotSent(PeerError::Protocol(addr, e.to_string())))?;
+        let (response, mut stream, guard) =
+            self.open(addr, CALL_PATH).await.map_err(CallError::NotSent)?;
+        let reader = match body {
+            CallBody::Whole(body) => {
+                buf.extend_from_slice(&body);
+                None
+            }
+            CallBody::Stream(reader) => Some(reader),
+        };
+        // The head and a whole body are small; h2 holds them until the window opens.
+        stream
+            .send_data(buf.freeze(), reader.is_none())
+            .map_err(|e| CallError::NotSent(broken(addr, e)))?;
+        let response = response.await.map_err(|e| classify(addr, e))?;
+        if response.status() != StatusCode::OK {
+            let error = PeerError::Protocol(addr, format!("status {}", response.status()));
+            return Err(CallError::NotSent(error));
+        }
+        let admitted = response.headers().contains_key(ADMITTED_HEADER);
+        let sending = match reader {
+            Some(mut reader) if admitted => Some(OwnedTask::spawn(async move {
+                if !frame::send_body(&mut stream, &mut reader).await {
+                    stream.send_reset(Reason::CANCEL);
+                }
+            })),
+            _ => None,
+        };
+        let mut recv = response.into_body();
+        let (reply, rest) = frame::read_head::<ReplyHead>(&mut recv)
+            .await
+            .map_err(|e| CallError::Failed(PeerError::Broken(addr, e.to_string())))?;
+        let ReplyHead::Answer { body_bytes, .. } = reply else {
+            return Ok(CallReply { head: reply, body: None });
+        };
+        let (writer, _, reader) = body_stream();
+        actix_rt::spawn(async move {
+            let _guard = guard;
+            let _sending = sending;
+            frame::receive_body(recv, rest, body_bytes, writer).await;
+        });
+        Ok(CallReply { head: reply, body: Some(reader) })
+    }
+
+    async fn control(
+        &self,
+        addr: SocketAddr,
+        request: ControlRequest,
+    ) -> Result<ControlReply, PeerError> {
+        let protocol = |e: String| PeerError::Protocol(addr, e);
+        let buf = wire::encode(&request, MAX_CONTROL_BYTES).map_err(|e| protocol(e.to_string()))?;
+        let (response, mut stream, _guard) = self.open(addr, CONTROL_PATH).await?;
+        if !frame::send_all(&mut stream, buf.into(), true).await {
+            return Err(PeerError::Broken(addr, "request not sent".to_string()));
+        }
+        let response = response.await.map_err(|e| broken(addr, e))?;
+        if response.status() != StatusCode::OK {
+            return Err(protocol(format!("status {}", response.status())));
+        }
+        let body = frame::read_all(&mut response.into_body(), MAX_CONTROL_BYTES)
+            .await
+            .map_err(|e| PeerError::Broken(addr, e.to_string()))?;
+        wire::decode(&body, MAX_CONTROL_BYTES).map_err(|e| protocol(e.to_string()))
+    }
+
+    /// Opens a stream. An error proves that nothing was sent.
+    async fn open(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+    ) -> Result<(ResponseFuture, SendStream<Bytes>, StreamGuard), PeerError> {
+        let mut failure = None;
+        // A connection that the peer closed meanwhile is replaced once.
+        for _ in 0..2 {
+            let connection = self.connection(addr).await?;
+            let guard = StreamGuard::new(connection.usage.clone());
+            let request = Request::post(format!("http://{addr}{path}"))
+                .body(())
+                .map_err(|e| PeerError::Protocol(addr, e.to_string()))?;
+            let opened = match connection.sender.clone().ready().await {
+                Ok(mut sender) => sender.send_request(request, false),
+                Err(e) => Err(e),
+            };
+            match opened {
+                Ok((response, stream)) => return Ok((response, stream, guard)),
+                Err(e) => {
+                    connection.usage.closed.set(true);
+                    failure = Some(PeerError::Unreachable(addr, e.to_string()));
+                }
+            }
+        }
+        Err(failure.unwrap_or_else(|| PeerError::Unreachable(addr, "closed".to_string())))
+    }
+
+    async fn connection(&self, addr: SocketAddr) -> Result<Rc<Connection>, PeerError> {
+        let began = Instant::now();
+        let slot = self.inner.slots.borrow_mut().entry(addr).or_default().clone();
+        let mut slot = slot.lock().await;
+        if let Some(connection) = slot.connection.as_ref().filter(|c| !c.usage.closed.get()) {
+            return Ok(connection.clone());
+        }
+        // Waiters share the failure of the attempt that they waited for.
+        if let Some((_, error)) = slot.failure.as_ref().filter(|(at, _)| *at >= began) {
+            return Err(error.clone());
+        }
+        slot.connection = None;
+        match self.connect(addr).await {
+            Ok(connection) => {
+                let connection = Rc::new(connection);
+                slot.connection = Some(connection.clone());
+                Ok(connection)
+            }
+            Err(error) => {
+                slot.failure = Some((Instant::now(), error.clone()));
+                Err(error)
+            }
+        }
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Result<Connection, PeerError> {
+        let settings = self.inner.settings;
+        let connecting = async {
+            let io = open_socket(addr, &settings).await.map_err(|e| e.to_string())?;
+            h2::client::Builder::new()
+                .initial_window_size(window(settings.stream_window.0))
+                .initial_connection_window_size(window(settings.connection_window.0))
+                .max_send_buffer_size(512 * 1024)
+                .enable_push(false)
+                .handshake::<_, Bytes>(io)
+                .await
+                .map_err(|e| e.to_string())
+        };
+        let (sender, mut connection) = timeout(settings.connect.to_duration(), connecting)
+            .await
+            .unwrap_or_else(|_| Err(format!("no connection within {}", settings.connect)))
+            .map_err(|e| PeerError::Unreachable(addr, e))?;
+        let usage = Rc::new(Usage::default());
+        let watched = usage.clone();
+        let ping = connection.ping_pong();
+        actix_rt::spawn(async move {
+            // Dropping the connection fails its streams at once.
+            tokio::select! {
+                _ = connection => {}
+                () = watch(ping, &watched, settings) => {}
+            }
+            watched.closed.set(true);
+        });
+        Ok(Connection { sender, usage })
+    }
+}
+
+impl ControlTransport for PeerClient {
+    fn request(
+        &self,
+        addr: SocketAddr,
+        request: ControlRequest,
+        limit: Millis,
+    ) -> LocalBoxFuture<'static, Result<ControlReply, PeerError>> {
+        let client = self.clone();
+        Box::pin(async move {
+            timeout(limit.to_duration(), client.control(addr, request))
+                .await
+                .unwrap_or(Err(PeerError::TimedOut(addr, limit)))
+        })
+    }
+}
+
+/// Ends when the connection is silent while in use, or idle for long.
+async fn watch(ping: Option<PingPong>, usage: &Usage, settings: PeerSettings) {
+    let Some(mut ping) = ping else { return };
+    loop {
+        while usage.streams.get() == 0 {
+            let idle = timeout(IDLE, usage.used.notified()).await.is_err();
+            if idle && usage.streams.get() == 0 {
+                usage.closed.set(true);
+                return;
+            }
+        }
+        let pong = timeout(settings.ping_timeout.to_duration(), ping.ping(Ping::opaque())).await;
+        if !matches!(pong, Ok(Ok(_))) {
+            metrics::counter!("ibis_peer_connections_silent_total").increment(1);
+            return;
+        }
+        actix_rt::time::sleep(settings.ping_interval.to_duration()).await;
+    }
+}
+
+async fn open_socket(addr: SocketAddr, settings: &PeerSettings) -> io::Result<TcpStream> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if let Some(bind) = settings.bind {
+        socket.bind(SocketAddr::new(bind, 0))?;
+    }
+    let io = socket.connect(addr).await?;
+    io.set_nodelay(true)?;
+    Ok(io)
+}
+
+/// A window size in the range that h2 allows.
+pub(super) fn window(bytes: u64) -> u32 {
+    u32::try_from(bytes.clamp(65_535, (1 << 31) - 1)).unwrap_or(65_535)
+}
+
+fn broken(addr: SocketAddr, e: h2::Error) -> PeerError {
+    PeerError::Broken(addr, e.to_string())
+}
+
+/// A refused stream was not processed by the peer (RFC 7540, section 8.1.4).
+fn classify(addr: SocketAddr, e: h2::Error) -> CallError {
+    if e.is_reset() && e.is_remote() && e.reason() == Some(Reason::REFUSED_STREAM) {
+        return CallError::NotSent(broken(addr, e));
+    }
+    CallError::Failed(broken(addr, e))
+}
--- /dev/null
+++ b/crates/ibisroute/src/peers/frame.rs
@@ -0,0 +1,161 @@
+//! Length-prefixed heads and flow-controlled bodies on h2 streams.
+
+use std::future::poll_fn;
+
+use bytes::Buf;
+use bytes::Bytes;
+use bytes::BytesMut;
+use derive_more::Display;
+use futures_util::StreamExt;
+use h2::RecvStream;
+use h2::SendStream;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::traffic::call::BodyReader;
+use crate::traffic::call::BodyWriter;
+use crate::wire;
+use crate::wire::MAX_CALL_HEAD_BYTES;
+use crate::wire::WireError;
+
+/// Bytes of the length prefix.
+const PREFIX_BYTES: usize = 4;
+
+/// Largest piece that is given to h2 at a time; bounds what h2 buffers for one stream.
+const PIECE_BYTES: usize = 64 * 1024;
+
+/// Why a frame or body could not be read.
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum FrameError {
+    /// The stream or its connection ended early.
+    #[display("stream ended early: {_0}")]
+    Broken(String),
+    /// The bytes do not follow the protocol.
+    #[display("{_0}")]
+    Malformed(WireError),
+}
+
+impl std::error::Error for FrameError {}
+
+/// Encodes the head of a call or reply with its length prefix.
+pub fn encode_head<T: Serialize>(head: &T) -> Result<BytesMut, WireError> {
+    let encoded = wire::encode(head, MAX_CALL_HEAD_BYTES)?;
+    let len = u32::try_from(encoded.len())
+        .map_err(|_| WireError::TooLong(encoded.len(), MAX_CALL_HEAD_BYTES))?;
+    let mut buf = BytesMut::with_capacity(PREFIX_BYTES + encoded.len());
+    buf.extend_from_slice(&len.to_le_bytes());
+    buf.extend_from_slice(&encoded);
+    Ok(buf)
+}
+
+/// Takes a whole head from the front of `buf`; `None` when more bytes are needed.
+pub fn decode_head<T: DeserializeOwned>(buf: &mut BytesMut) -> Result<Option<T>, WireError> {
+    let Some(prefix) = buf.first_chunk::<PREFIX_BYTES>() else { return Ok(None) };
+    let len = u32::from_le_bytes(*prefix) as usize;
+    if len > MAX_CALL_HEAD_BYTES {
+        return Err(WireError::TooLong(len, MAX_CALL_HEAD_BYTES));
+    }
+    if buf.len() < PREFIX_BYTES + len {
+        return Ok(None);
+    }
+    buf.advance(PREFIX_BYTES);
+    wire::decode(&buf.split_to(len), MAX_CALL_HEAD_BYTES).map(Some)
+}
+
+/// Reads a head; returns it with the body bytes that arrived along with it.
+pub async fn read_head<T: DeserializeOwned>(
+    stream: &mut RecvStream,
+) -> Result<(T, Bytes), FrameError> {
+    let mut buf = BytesMut::new();
+    loop {
+        if let Some(head) = decode_head(&mut buf).map_err(FrameError::Malformed)? {
+            return Ok((head, buf.freeze()));
+        }
+        let data = next_data(stream).await?;
+        buf.extend_from_slice(&data.ok_or_else(|| FrameError::Broken("no head".to_string()))?);
+    }
+}
+
+/// Reads a whole body of at most `limit` bytes.
+pub async fn read_all(stream: &mut RecvStream, limit: usize) -> Result<Bytes, FrameError> {
+    let mut buf = BytesMut::new();
+    while let Some(data) = next_data(stream).await? {
+        if buf.len() + data.len() > limit {
+            return Err(FrameError::Malformed(WireError::TooLong(buf.len() + data.len(), limit)));
+        }
+        buf.extend_from_slice(&data);
+    }
+    Ok(buf.freeze())
+}
+
+async fn next_data(stream: &mut RecvStream) -> Result<Option<Bytes>, FrameError> {
+    let Some(data) = stream.data().await else { return Ok(None) };
+    let data = data.map_err(|e| FrameError::Broken(e.to_string()))?;
+    // Fails only when the stream is gone, which the next read tells.
+    let _ = stream.flow_control().release_capacity(data.len());
+    Ok(Some(data))
+}
+
+/// Sends `data` as the peer's window allows; `false` when the stream is gone.
+pub async fn send_all(stream: &mut SendStream<Bytes>, mut data: Bytes, end: bool) -> bool {
+    while !data.is_empty() {
+        stream.reserve_capacity(data.len().min(PIECE_BYTES));
+        let Some(Ok(room)) = poll_fn(|cx| stream.poll_capacity(cx)).await else { return false };
+        let piece = data.split_to(room.min(data.len()));
+        if !piece.is_empty() && stream.send_data(piece, false).is_err() {
+            return false;
+        }
+    }
+    !end || stream.send_data(Bytes::new(), true).is_ok()
+}
+
+/// Copies a body from an h2 stream. Chunks are given back to the flow-control window only after the
+/// reader took them, so that a slow reader slows the sender.
+pub async fn receive_body(
+    mut stream: RecvStream,
+    first: Bytes,
+    expected: Option<u64>,
+    writer: BodyWriter,
+) {
+    let mut received = first.len() as u64;
+    if !first.is_empty() && !writer.send(first).await {
+        return;
+    }
+    loop {
+        let data = tokio::select! {
+            biased;
+            () = writer.closed() => return,
+            data = stream.data() => data,
+        };
+        let Some(data) = data else { break };
+        let Ok(data) = data else { return };
+        let len = data.len();
+        received += len as u64;
+        if !writer.send(data).await || stream.flow_control().release_capacity(len).is_err() {
+            return;
+        }
+    }
+    if expected.is_none_or(|n| n == received) {
+        writer.end().await;
+    }
+}
+
+/// Copies a body to an h2 stream and ends it; `false` when either side broke.
+pub async fn send_body(stream: &mut SendStream<Bytes>, reader: &mut BodyReader) -> bool {
+    loop {
+        let part = tokio::select! {
+            biased;
+            _ = poll_fn(|cx| stream.poll_reset(cx)) => return false,
+            part = reader.next() => part,
+        };
+        match part {
+            Some(Ok(data)) => {
+                if !send_all(stream, data, false).await {
+                    return false;
+                }
+            }
+            Some(Err(_)) => return false,
+            None => return stream.send_data(Bytes::new(), true).is_ok(),
+        }
+    }
+}
--- a/crates/ibisroute/src/peers/mod.rs
+++ b/crates/ibisroute/src/peers/mod.rs
@@ -1,5 +1,11 @@
 //! Streams between nodes: h2 connections, control requests and calls.
 
+pub mod client;
+pub mod frame;
+pub mod peer_settings;
+pub mod server;
+pub mod task;
+
 use std::net::SocketAddr;
 
 use derive_more::Display;
@@ -9,6 +15,15 @@
 use crate::wire::ControlReply;
 use crate::wire::ControlRequest;
 
+/// Path of control requests.
+const CONTROL_PATH: &str = "/control";
+
+/// Path of calls.
+const CALL_PATH: &str = "/call";
+
+/// Response header that tells the calling node to send a streamed body: the target is connected.
+const ADMITTED_HEADER: &str = "x-ibis-admitted";
+
 /// Why a peer gave no usable answer.
 #[derive(Clone, Debug, PartialEq, Eq, Display)]
 pub enum PeerError {
--- /dev/null
+++ b/crates/ibisroute/src/traffic/admission.rs
@@ -0,0 +1,242 @@
+//! Exact admission at the node beside a target: slots, queue, limits and drain.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use crate::catalogue::model::Class;
+use crate::traffic::token_bucket::TokenBucket;
+use crate::types::EntryName;
+use crate::types::Millis;
+use crate::wire::LoadWire;
+use crate::wire::RefusalWire;
+
+/// Half-life of a service-time estimate without new observations. Without the decay an estimate
+/// above every deadline would refuse all calls and never be corrected.
+const ESTIMATE_HALF_LIFE_MS: f64 = 1000.0;
+
+/// Weight of a new observation in the service-time estimate.
+const ESTIMATE_WEIGHT: f64 = 0.2;
+
+/// A call that asks for a slot.
+#[derive(Clone, Debug)]
+pub struct Ticket {
+    /// Identity, unique on the target.
+    pub id: u64,
+    /// The entry.
+    pub entry: EntryName,
+    /// Its class.
+    pub class: Class,
+    /// The call is of no use after this point.
+    pub deadline: Millis,
+    /// Calls a second that this target may run of the entry.
+    pub rate: f64,
+    /// Calls at a time that this target may have of the entry.
+    pub concurrency: u32,
+}
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum AdmissionEvent {
+    /// A call arrived.
+    Offer(Ticket),
+    /// A running call has ended, or its connection was closed. The time is `None` when the target
+    /// did not answer.
+    Finish(u64, Option<Millis>),
+    /// The caller of a queued call went away, or its deadline passed.
+    Cancel(u64),
+    /// The target leaves: no new calls. Queued calls are refused, running ones end.
+    Drain,
+    /// The target announced another number of slots.
+    Slots(u32),
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AdmissionAction {
+    /// Send the call to the target.
+    Start(u64),
+    /// Refuse the call; it did not run.
+    Refuse(u64, RefusalWire),
+    /// The target drains and has no calls left.
+    Idle,
+}
+
+#[derive(Debug, Default)]
+struct EntryState {
+    bucket: TokenBucket,
+    held: u32,
+    estimate_ms: f64,
+    observed: Millis,
+}
+
+/// Admission state of one target.
+#[derive(Debug)]
+pub struct Admission {
+    slots: u32,
+    queue_per_slot: u32,
+    running: BTreeMap<u64, EntryName>,
+    queues: [VecDeque<Ticket>; Class::ALL.len()],
+    entries: BTreeMap<EntryName, EntryState>,
+    draining: bool,
+}
+
+impl Admission {
+    /// Makes the state of an idle target.
+    pub fn new(slots: u32, queue_per_slot: u32) -> Self {
+        Self {
+            slots: slots.max(1),
+            queue_per_slot,
+            running: BTreeMap::new(),
+            queues: Default::default(),
+            entries: BTreeMap::new(),
+            draining: false,
+        }
+    }
+
+    /// Load of the target.
+    pub fn load(&self) -> LoadWire {
+        LoadWire {
+            in_flight: u32::try_from(self.running.len()).unwrap_or(u32::MAX),
+            queued: u32::try_from(self.queued()).unwrap_or(u32::MAX),
+            slots: self.slots,
+        }
+    }
+
+    /// Whether the target drains.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Applies an event.
+    pub fn step(&mut self, now: Millis, event: AdmissionEvent) -> Vec<AdmissionAction> {
+        let mut actions = Vec::new();
+        match event {
+            AdmissionEvent::Offer(ticket) => self.offer(now, ticket, &mut actions),
+            AdmissionEvent::Finish(id, time) => self.finish(now, id, time),
+            AdmissionEvent::Cancel(id) => self.cancel(id),
+            AdmissionEvent::Slots(slots) => self.slots = slots.max(1),
+            AdmissionEvent::Drain => {
+                self.draining = true;
+                for ticket in self.queues.iter_mut().flat_map(std::mem::take).collect::<Vec<_>>() {
+                    self.refuse(&ticket, RefusalWire::Draining, &mut actions);
+                }
+            }
+        }
+        self.fill(now, &mut actions);
+        if self.draining && self.running.is_empty() {
+            actions.push(AdmissionAction::Idle);
+        }
+        actions
+    }
+
+    fn queued(&self) -> usize {
+        self.queues.iter().map(VecDeque::len).sum()
+    }
+
+    fn offer(&mut self, now: Millis, ticket: Ticket, actions: &mut Vec<AdmissionAction>) {
+        let refusal = if self.draining {
+            Some(RefusalWire::Draining)
+        } else if !self.can_meet(now, &ticket) {
+            Some(RefusalWire::DeadlineTooShort)
+        } else {
+            self.shed_for(&ticket, actions)
+        };
+        let refusal = refusal.or_else(|| self.take_limits(now, &ticket));
+        if let Some(reason) = refusal {
+            actions.push(AdmissionAction::Refuse(ticket.id, reason));
+            return;
+        }
+        self.entries.entry(ticket.entry.clone()).or_default().held += 1;
+        self.queues[ticket.class.shed_rank()].push_back(ticket);
+    }
+
+    /// Makes room in a full queue by refusing the newest call of the lowest class below `ticket`.
+    fn shed_for(
+        &mut self,
+        ticket: &Ticket,
+        actions: &mut Vec<AdmissionAction>,
+    ) -> Option<RefusalWire> {
+        let room = (self.slots * self.queue_per_slot) as usize;
+        if self.running.len() < self.slots as usize || self.queued() < room {
+            return None;
+        }
+        let rank = ticket.class.shed_rank();
+        let lowest = (rank + 1..self.queues.len()).rev().find(|r| !self.queues[*r].is_empty());
+        let Some(shed) = lowest.and_then(|r| self.queues[r].pop_back()) else {
+            return Some(RefusalWire::Overloaded);
+        };
+        self.refuse(&shed, RefusalWire::Overloaded, actions);
+        None
+    }
+
+    fn take_limits(&mut self, now: Millis, ticket: &Ticket) -> Option<RefusalWire> {
+        let state = self.entries.entry(ticket.entry.clone()).or_default();
+        let within = state.held < ticket.concurrency
+            && state.bucket.take(now, ticket.rate, ticket.rate.max(1.0));
+        (!within).then_some(RefusalWire::LimitReached)
+    }
+
+    fn can_meet(&self, now: Millis, ticket: &Ticket) -> bool {
+        let own = self.estimate(now, &ticket.entry);
+        let rank = ticket.class.shed_rank();
+        let ahead: f64 = self.queues[..=rank]
+            .iter()
+            .flatten()
+            .map(|t| self.estimate(now, &t.entry))
+            .sum::<f64>();
+        let wait = if self.running.len() < self.slots as usize {
+            0.0
+        } else {
+            ahead / f64::from(self.slots)
+        };
+        ticket.deadline > now && now.0 as f64 + wait + own <= ticket.deadline.0 as f64
+    }
+
+    fn estimate(&self, now: Millis, entry: &EntryName) -> f64 {
+        let Some(state) = self.entries.get(entry) else { return 0.0 };
+        let age = now.since(state.observed).0 as f64;
+        state.estimate_ms * (-age / ESTIMATE_HALF_LIFE_MS).exp2()
+    }
+
+    fn finish(&mut self, now: Millis, id: u64, time: Option<Millis>) {
+        let Some(entry) = self.running.remove(&id) else { return };
+        self.release(&entry);
+        let Some(time) = time else { return };
+        let state = self.entries.entry(entry).or_default();
+        let time = time.0 as f64;
+        state.estimate_ms += (time - state.estimate_ms) * ESTIMATE_WEIGHT;
+        state.observed = now;
+    }
+
+    fn cancel(&mut self, id: u64) {
+        for rank in 0..self.queues.len() {
+            let Some(i) = self.queues[rank].iter().position(|t| t.id == id) else { continue };
+            if let Some(ticket) = self.queues[rank].remove(i) {
+                self.release(&ticket.entry);
+            }
+        }
+    }
+
+    fn refuse(&mut self, ticket: &Ticket, reason: RefusalWire, actions: &mut Vec<AdmissionAction>) {
+        self.release(&ticket.entry);
+        actions.push(AdmissionAction::Refuse(ticket.id, reason));
+    }
+
+    fn release(&mut self, entry: &EntryName) {
+        if let Some(state) = self.entries.get_mut(entry) {
+            state.held = state.held.saturating_sub(1);
+        }
+    }
+
+    fn fill(&mut self, now: Millis, actions: &mut Vec<AdmissionAction>) {
+        while self.running.len() < self.slots as usize {
+            let Some(ticket) = self.queues.iter_mut().find_map(VecDeque::pop_front) else { return };
+            if now.0 as f64 + self.estimate(now, &ticket.entry) > ticket.deadline.0 as f64 {
+                self.refuse(&ticket, RefusalWire::DeadlineTooShort, actions);
+                continue;
+            }
+            self.running.insert(ticket.id, ticket.entry);
+            actions.push(AdmissionAction::Start(ticket.id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/src/traffic/claim.rs
@@ -0,0 +1,114 @@
+//! Claims of bookings, as the caller listener holds them.
+
+use std::time::Instant;
+
+use actix_web::http::StatusCode;
+use smol_str::SmolStr;
+use tokio::time::timeout_at;
+
+use super::refusal::Refusal;
+use super::request::Source;
+use super::worker::Worker;
+use crate::catalogue::model::Entry;
+use crate::node::handle::ControlHandle;
+use crate::node::handle::ControlWork;
+use crate::types::Digest;
+use crate::types::Millis;
+use crate::wire::ClaimReply;
+use crate::wire::ClaimWire;
+use crate::wire::RecordedAnswer;
+
+/// Outcome of a claim.
+pub(super) enum Claimed {
+    /// The request may be sent.
+    Granted(ClaimGuard),
+    /// The answer that an earlier request with the key got.
+    Recorded(RecordedAnswer),
+}
+
+/// A claim that is released on drop unless its request may have run.
+pub(super) struct ClaimGuard {
+    control: ControlHandle,
+    claim: Option<ClaimWire>,
+    may_have_run: bool,
+}
+
+impl ClaimGuard {
+    /// Notes whether a target may have the request.
+    pub(super) fn set_may_have_run(&mut self, may_have_run: bool) {
+        self.may_have_run = may_have_run;
+    }
+
+    /// Records the answer for repeats.
+    pub(super) fn record(mut self, result: RecordedAnswer) {
+        if let Some(claim) = self.claim.take() {
+            // The control thread ends only when the node stops.
+            let _ = self.control.send(ControlWork::RecordResult { claim, result });
+        }
+    }
+}
+
+impl Drop for ClaimGuard {
+    fn drop(&mut self) {
+        if let Some(claim) = self.claim.take().filter(|_| !self.may_have_run) {
+            // The control thread ends only when the node stops.
+            let _ = self.control.send(ControlWork::ReleaseClaim(claim));
+        }
+    }
+}
+
+/// Claims the key of a booking within the deadline.
+pub(super) async fn claim(
+    worker: &Worker,
+    entry: &Entry,
+    key: &str,
+    request: (&str, &str, &Source),
+    deadline: Instant,
+) -> Result<Claimed, Refusal> {
+    let remaining = Millis::from(deadline.saturating_duration_since(Instant::now()));
+    let claim = ClaimWire {
+        row: format!("claim/{}/{}", entry.name, Digest::of(key.as_bytes())).into(),
+        token: worker.random_id().0,
+        fingerprint: fingerprint(request),
+        deadline_ms: remaining.0,
+    };
+    let control = worker.shared.control.clone();
+    // Guards the wait as well: a claim that is granted too late is released by its token.
+    let mut guard =
+        ClaimGuard { control: control.clone(), claim: Some(claim.clone()), may_have_run: false };
+    let unavailable = |reason: &str| {
+        Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "claim", format!("no claim: {reason}"))
+    };
+    let reply = match timeout_at(deadline.into(), control.claim(claim)).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(e)) => return Err(unavailable(&e.to_string())),
+        Err(_) => return Err(unavailable("not decided before the deadline")),
+    };
+    if reply == ClaimReply::Granted {
+        return Ok(Claimed::Granted(guard));
+    }
+    guard.claim = None;
+    match reply {
+        ClaimReply::Granted | ClaimReply::Claimed => Err(Refusal::may_have_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "claimed",
+            "an earlier request with this key has no recorded result",
+        )),
+        ClaimReply::Recorded(answer) => Ok(Claimed::Recorded(answer)),
+        ClaimReply::Mismatch => Err(Refusal::not_run(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "mismatch",
+            "the key was used for another request",
+        )),
+        ClaimReply::Unavailable(reason) => Err(unavailable(&reason)),
+    }
+}
+
+/// Digest of method, path and body; a streamed body counts by its length.
+fn fingerprint((method, path, source): (&str, &str, &Source)) -> SmolStr {
+    let body = match source {
+        Source::Whole(body) => Digest::of(body).to_string(),
+        Source::Stream(_) => format!("{:?}", source.len()),
+    };
+    Digest::of(format!("{method}\n{path}\n{body}").as_bytes()).to_string().into()
+}
--- /dev/null
+++ b/crates/ibisroute/src/traffic/dispatch.rs
@@ -0,0 +1,512 @@
+//! The dispatch thread: admits calls to the targets beside this node and sends them.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use smol_str::SmolStr;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::sleep_until;
+use tokio::time::timeout_at;
+
+use super::admission::Admission;
+use super::admission::AdmissionAction;
+use super::admission::AdmissionEvent;
+use super::admission::Ticket;
+use super::call::BodyWriter;
+use super::call::CallJob;
+use super::call::CallReply;
+use super::call::body_stream;
+use super::headers;
+use super::target_client::SendFailure;
+use super::target_client::TargetBody;
+use super::target_client::TargetClient;
+use super::traffic_settings::TrafficSettings;
+use crate::catalogue::model::Entry;
+use crate::events;
+use crate::events::traffic;
+use crate::node::handle::ControlHandle;
+use crate::node::handle::ControlWork;
+use crate::snapshot::Snapshot;
+use crate::types::InstanceId;
+use crate::types::Millis;
+use crate::types::ServiceName;
+use crate::types::VersionName;
+use crate::wire::CallHead;
+use crate::wire::LoadWire;
+use crate::wire::RefusalWire;
+use crate::wire::ReplyHead;
+
+/// A target beside this node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LocalTarget {
+    /// Run of the target.
+    pub instance: InstanceId,
+    /// Service.
+    pub service: ServiceName,
+    /// Version.
+    pub version: VersionName,
+    /// Where it serves HTTP.
+    pub address: SocketAddr,
+    /// Calls that it runs at a time.
+    pub slots: u32,
+    /// Connections that it accepts; bounds the calls at a time as well.
+    pub connections: u32,
+}
+
+/// Work for the dispatch thread.
+#[derive(Debug)]
+pub(super) enum DispatchWork {
+    Call(CallJob),
+    Upsert(LocalTarget),
+    Drain(InstanceId),
+    Remove(InstanceId),
+    DrainAll,
+    Idle(oneshot::Sender<()>),
+    Stop,
+}
+
+/// Sends work to the dispatch thread. Work is ignored after the thread has ended.
+#[derive(Clone, Debug)]
+pub struct DispatchHandle {
+    pub(super) tx: mpsc::UnboundedSender<DispatchWork>,
+}
+
+impl DispatchHandle {
+    /// Adds a target, or changes its slots and connections. A target that drains stays so.
+    pub fn upsert(&self, target: LocalTarget) {
+        self.send(DispatchWork::Upsert(target));
+    }
+
+    /// Stops new calls to a target; [`ControlWork::TargetIdle`] follows when none is in flight.
+    pub fn drain(&self, instance: InstanceId) {
+        self.send(DispatchWork::Drain(instance));
+    }
+
+    /// Drains a target and forgets it when no call is in flight.
+    pub fn remove(&self, instance: InstanceId) {
+        self.send(DispatchWork::Remove(instance));
+    }
+
+    /// Sends a call to a target beside this node; `false` when the thread has ended.
+    pub(super) fn call(&self, job: CallJob) -> bool {
+        self.tx.send(DispatchWork::Call(job)).is_ok()
+    }
+
+    pub(super) fn send(&self, work: DispatchWork) {
+        // The thread ends only when the node stops.
+        let _ = self.tx.send(work);
+    }
+}
+
+struct Target {
+    local: LocalTarget,
+    client: Rc<TargetClient>,
+    admission: Admission,
+    waiting: HashMap<u64, oneshot::Sender<Result<(), RefusalWire>>>,
+    reachable: bool,
+    idle_reported: bool,
+    removed: bool,
+}
+
+/// State of the dispatch thread.
+pub(super) struct Dispatcher {
+    settings: TrafficSettings,
+    snapshot: Arc<ArcSwap<Snapshot>>,
+    control: ControlHandle,
+    started: Instant,
+    targets: RefCell<BTreeMap<SmolStr, Target>>,
+    last_id: Cell<u64>,
+    calls: Cell<usize>,
+    ended: Notify,
+    draining: Cell<bool>,
+}
+
+/// Counts a call until it has ended in every respect.
+struct CallGuard(Rc<Dispatcher>);
+
+impl CallGuard {
+    fn new(dispatcher: Rc<Dispatcher>) -> Self {
+        dispatcher.calls.set(dispatcher.calls.get() + 1);
+        metrics::gauge!("ibis_dispatch_in_flight").increment(1.0);
+        Self(dispatcher)
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        metrics::gauge!("ibis_dispatch_in_flight").decrement(1.0);
+        self.0.calls.set(self.0.calls.get().saturating_sub(1));
+        if self.0.calls.get() == 0 {
+            self.0.ended.notify_waiters();
+        }
+    }
+}
+
+/// A queue place or slot. Given back on drop, after the connection of the call was closed or
+/// returned.
+struct Slot {
+    dispatcher: Rc<Dispatcher>,
+    instance: SmolStr,
+    id: u64,
+    began: Cell<Option<Instant>>,
+    /// Whether the time of the call tells how long the target works on one.
+    timed: Cell<bool>,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let time = self.began.get().filter(|_| self.timed.get()).map(|t| t.elapsed().into());
+        self.dispatcher.step(&self.instance, AdmissionEvent::Cancel(self.id));
+        self.dispatcher.step(&self.instance, AdmissionEvent::Finish(self.id, time));
+    }
+}
+
+/// A reply whose body is still to be copied.
+struct Served {
+    reply: CallReply,
+    // The body is dropped before the slot: the connection closes first.
+    body: Option<(TargetBody, BodyWriter)>,
+    _slot: Option<Slot>,
+}
+
+impl Dispatcher {
+    pub(super) fn new(
+        settings: TrafficSettings,
+        snapshot: Arc<ArcSwap<Snapshot>>,
+        control: ControlHandle,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            settings,
+            snapshot,
+            control,
+            started: Instant::now(),
+            targets: RefCell::default(),
+            last_id: Cell::new(0),
+            calls: Cell::new(0),
+            ended: Notify::new(),
+            draining: Cell::new(false),
+        })
+    }
+
+    /// Takes work until [`DispatchWork::Stop`].
+    pub(super) async fn run(self: Rc<Self>, mut rx: mpsc::UnboundedReceiver<DispatchWork>) {
+        while let Some(work) = rx.recv().await {
+            match work {
+                DispatchWork::Call(job) => self.clone().start_call(job),
+                DispatchWork::Upsert(target) => self.upsert(target),
+                DispatchWork::Drain(instance) => self.drain(instance.as_str(), false),
+                DispatchWork::Remove(instance) => self.drain(instance.as_str(), true),
+                DispatchWork::DrainAll => {
+                    self.draining.set(true);
+                    let instances: Vec<SmolStr> = self.targets.borrow().keys().cloned().collect();
+                    instances.iter().for_each(|i| self.drain(i, false));
+                }
+                DispatchWork::Idle(reply) => {
+                    let dispatcher = self.clone();
+                    actix_rt::spawn(async move {
+                        dispatcher.idle().await;
+                        // The waiter may have given up.
+                        let _ = reply.send(());
+                    });
+                }
+                DispatchWork::Stop => return,
+            }
+        }
+    }
+
+    /// Starts a call; never blocks.
+    pub(super) fn start_call(self: Rc<Self>, job: CallJob) {
+        let guard = CallGuard::new(self.clone());
+        actix_rt::spawn(async move {
+            let _guard = guard;
+            self.run_call(job).await;
+        });
+    }
+
+    async fn idle(&self) {
+        loop {
+            let ended = self.ended.notified();
+            if self.calls.get() == 0 {
+                return;
+            }
+            ended.await;
+        }
+    }
+
+    fn now(&self) -> Millis {
+        self.started.elapsed().into()
+    }
+
+    fn upsert(&self, local: LocalTarget) {
+        let slots = local.slots.min(local.connections).max(1);
+        let key = SmolStr::from(local.instance.clone());
+        let mut targets = self.targets.borrow_mut();
+        let known = targets.get_mut(&key).filter(|t| t.local.address == local.address);
+        if let Some(target) = known {
+            target.local = local;
+            drop(targets);
+            return self.step(&key, AdmissionEvent::Slots(slots));
+        }
+        let target = Target {
+            client: Rc::new(TargetClient::new(local.address, self.settings)),
+            admission: Admission::new(slots, self.settings.queue_per_slot),
+            waiting: HashMap::new(),
+            reachable: true,
+            idle_reported: false,
+            removed: false,
+            local,
+        };
+        targets.insert(key.clone(), target);
+        drop(targets);
+        if self.draining.get() {
+            self.drain(&key, false);
+        }
+    }
+
+    fn drain(&self, instance: &str, remove: bool) {
+        if let Some(target) = self.targets.borrow_mut().get_mut(instance) {
+            target.removed |= remove;
+        }
+        self.step(instance, AdmissionEvent::Drain);
+    }
+
+    /// Applies an admission event and its actions.
+    fn step(&self, instance: &str, event: AdmissionEvent) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            let mut targets = self.targets.borrow_mut();
+            let Some(target) = targets.get_mut(instance) else { return };
+            for action in target.admission.step(self.now(), event) {
+                match action {
+                    AdmissionAction::Start(id) => {
+                        let started =
+                            target.waiting.remove(&id).is_some_and(|w| w.send(Ok(())).is_ok());
+                        if !started {
+                            events.push(AdmissionEvent::Finish(id, None));
+                        }
+                    }
+                    AdmissionAction::Refuse(id, reason) => {
+                        if let Some(waiting) = target.waiting.remove(&id) {
+                            // The call may have been abandoned.
+                            let _ = waiting.send(Err(reason));
+                        }
+                    }
+                    AdmissionAction::Idle => {
+                        if !std::mem::replace(&mut target.idle_reported, true) {
+                            let idle = ControlWork::TargetIdle(target.local.instance.clone());
+                            // The control thread ends only when the node stops.
+                            let _ = self.control.send(idle);
+                        }
+                    }
+                }
+            }
+            let gone = target.removed && target.idle_reported;
+            if gone {
+                targets.remove(instance);
+            }
+        }
+    }
+
+    async fn run_call(self: Rc<Self>, job: CallJob) {
+        let CallJob { head, body, mut reply } = job;
+        let deadline = Instant::now() + Duration::from_millis(head.deadline_ms);
+        let served = tokio::select! {
+            biased;
+            () = reply.closed() => return,
+            served = self.serve(&head, body, deadline) => served,
+        };
+        let Served { reply: head, body, _slot } = served;
+        if reply.send(head).is_err() {
+            return;
+        }
+        let Some((mut body, writer)) = body else { return };
+        let copied = tokio::select! {
+            biased;
+            () = writer.closed() => false,
+            () = sleep_until(deadline.into()) => false,
+            copied = copy_body(&mut body, &writer) => copied,
+        };
+        drop(body);
+        if let Some(slot) = &_slot {
+            slot.timed.set(copied);
+        }
+        drop(_slot);
+        if copied {
+            writer.end().await;
+        }
+    }
+
+    async fn serve(
+        self: &Rc<Self>,
+        head: &CallHead,
+        body: super::call::CallBody,
+        deadline: Instant,
+    ) -> Served {
+        let slot = match self.admit(head, deadline).await {
+            Ok(slot) => slot,
+            Err(reason) => return self.refused(head, reason),
+        };
+        let client = self.targets.borrow().get(&head.instance).map(|t| t.client.clone());
+        let Some(client) = client else { return self.refused(head, RefusalWire::TargetGone) };
+        let began = Instant::now();
+        slot.began.set(Some(began));
+        let remaining = deadline.saturating_duration_since(began);
+        let extra = [
+            (headers::REQUEST_ID, head.request_id.to_string()),
+            (headers::DEADLINE, remaining.as_millis().to_string()),
+            (headers::DEPTH, head.depth.saturating_add(1).to_string()),
+        ];
+        let written = Cell::new(false);
+        let sent = timeout_at(deadline.into(), client.send(head, &extra, body, &written)).await;
+        slot.timed.set(written.get());
+        let answer = match sent {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(SendFailure { written: false, reason })) => {
+                self.reachable(&head.instance, Some(&reason));
+                drop(slot);
+                return self.refused(head, RefusalWire::Unreachable);
+            }
+            Ok(Err(SendFailure { reason, .. })) => {
+                slot.timed.set(false);
+                drop(slot);
+                return self.failed(head, reason);
+            }
+            Err(_) if !written.get() => {
+                drop(slot);
+                return self.refused(head, RefusalWire::Unreachable);
+            }
+            Err(_) => {
+                drop(slot);
+                return self
+                    .failed(head, "no answer of the target before the deadline".to_string());
+            }
+        };
+        self.reachable(&head.instance, None);
+        let mut answer_headers = answer.headers;
+        let service = began.elapsed().as_micros().to_string();
+        answer_headers.push((SmolStr::new_static(headers::SERVICE_MICROS), service.into_bytes()));
+        let (writer, _, reader) = body_stream();
+        let reply = ReplyHead::Answer {
+            request_id: head.request_id.clone(),
+            status: answer.status,
+            headers: answer_headers,
+            body_bytes: answer.body_bytes,
+            load: self.load(&head.instance),
+        };
+        Served {
+            reply: CallReply { head: reply, body: Some(reader) },
+            body: Some((answer.body, writer)),
+            _slot: Some(slot),
+        }
+    }
+
+    /// Waits for a slot, within the deadline.
+    async fn admit(
+        self: &Rc<Self>,
+        head: &CallHead,
+        deadline: Instant,
+    ) -> Result<Slot, RefusalWire> {
+        let snapshot = self.snapshot.load_full();
+        let config = snapshot.config.as_ref().ok_or(RefusalWire::EntryUnknown)?;
+        let entry = config.entry(&head.entry).ok_or(RefusalWire::EntryUnknown)?;
+        let known = snapshot.endpoints.services.get(&entry.service).map_or(1, |s| s.known.max(1));
+        let id = self.last_id.get() + 1;
+        self.last_id.set(id);
+        let (tx, rx) = oneshot::channel();
+        {
+            let mut targets = self.targets.borrow_mut();
+            let target = targets.get_mut(&head.instance).ok_or(RefusalWire::TargetGone)?;
+            if target.local.service != entry.service {
+                return Err(RefusalWire::EntryUnknown);
+            }
+            target.waiting.insert(id, tx);
+        }
+        let slot = Slot {
+            dispatcher: self.clone(),
+            instance: head.instance.clone(),
+            id,
+            began: Cell::new(None),
+            timed: Cell::new(false),
+        };
+        let waited = Instant::now();
+        self.step(&head.instance, AdmissionEvent::Offer(self.ticket(id, entry, known, deadline)));
+        let decision = timeout_at(deadline.into(), rx).await;
+        metrics::histogram!("ibis_admission_wait_seconds").record(waited.elapsed().as_secs_f64());
+        match decision {
+            Ok(Ok(Ok(()))) => Ok(slot),
+            Ok(Ok(Err(reason))) => Err(reason),
+            Ok(Err(_)) => Err(RefusalWire::TargetGone),
+            Err(_) => Err(RefusalWire::DeadlineTooShort),
+        }
+    }
+
+    fn ticket(&self, id: u64, entry: &Entry, known: u32, deadline: Instant) -> Ticket {
+        Ticket {
+            id,
+            entry: entry.name.clone(),
+            class: entry.class,
+            deadline: deadline.saturating_duration_since(self.started).into(),
+            rate: entry.limits.rate.0 / f64::from(known),
+            concurrency: entry.limits.concurrency.div_ceil(known).max(1),
+        }
+    }
+
+    fn load(&self, instance: &str) -> LoadWire {
+        self.targets.borrow().get(instance).map(|t| t.admission.load()).unwrap_or_default()
+    }
+
+    fn refused(&self, head: &CallHead, reason: RefusalWire) -> Served {
+        let load = self.load(&head.instance);
+        let head = ReplyHead::Refused { request_id: head.request_id.clone(), reason, load };
+        Served { reply: CallReply { head, body: None }, body: None, _slot: None }
+    }
+
+    fn failed(&self, head: &CallHead, reason: String) -> Served {
+        let load = self.load(&head.instance);
+        let head =
+            ReplyHead::Failed { request_id: head.request_id.clone(), reason: reason.into(), load };
+        Served { reply: CallReply { head, body: None }, body: None, _slot: None }
+    }
+
+    fn reachable(&self, instance: &str, failure: Option<&str>) {
+        let mut targets = self.targets.borrow_mut();
+        let Some(target) = targets.get_mut(instance) else { return };
+        let reachable = failure.is_none();
+        if std::mem::replace(&mut target.reachable, reachable) == reachable {
+            return;
+        }
+        match failure {
+            Some(e) => {
+                events::emit(&traffic::TARGET_UNREACHABLE, format_args!("{instance}: {e}"));
+            }
+            None => events::emit(&traffic::TARGET_REACHABLE, format_args!("{instance}")),
+        }
+        let instance = target.local.instance.clone();
+        // The control thread ends only when the node stops.
+        let _ = self.control.send(ControlWork::TargetReachable { instance, reachable });
+    }
+}
+
+async fn copy_body(body: &mut TargetBody, writer: &BodyWriter) -> bool {
+    loop {
+        match body.next().await {
+            Some(Ok(data)) => {
+                if !writer.send(data).await {
+                    return false;
+                }
+            }
+            Some(Err(_)) => return false,
+            None => return true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/src/traffic/ingress.rs
@@ -0,0 +1,371 @@
+//! The listener for callers.
+
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_web::App;
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::HttpServer;
+use actix_web::dev::Server;
+use actix_web::http::Method;
+use actix_web::http::StatusCode;
+use actix_web::web;
+use actix_web::web::Payload;
+use smol_str::SmolStr;
+use tokio::sync::oneshot;
+use tokio::time::timeout_at;
+
+use super::call::CallBody;
+use super::call::CallJob;
+use super::call::CallReply;
+use super::claim;
+use super::claim::ClaimGuard;
+use super::claim::Claimed;
+use super::headers;
+use super::refusal::Ran;
+use super::refusal::Refusal;
+use super::request;
+use super::request::Source;
+use super::response::Answer;
+use super::response::ResponseCx;
+use super::response::answer_response;
+use super::response::recorded_response;
+use super::retry::AttemptOutcome;
+use super::retry::may_send_again;
+use super::worker::Attempt;
+use super::worker::AttemptEnd;
+use super::worker::Shared;
+use super::worker::Worker;
+use crate::catalogue::model::Entry;
+use crate::peers::client::CallError;
+use crate::snapshot::CompiledCatalogue;
+use crate::snapshot::Endpoint;
+use crate::types::InstanceId;
+use crate::types::RequestId;
+use crate::wire::CallHead;
+use crate::wire::RefusalWire;
+use crate::wire::ReplyHead;
+
+/// Time that a node beside the target gets less than the caller, so that its precise refusal
+/// arrives before this node can only say that the call may have run.
+const REPLY_MARGIN_MS: u64 = 10;
+
+/// Longest wait for callers in a graceful stop; the bound of the drain is shorter.
+const SHUTDOWN_S: u64 = 3600;
+
+/// Makes the server for callers on a bound listener.
+pub(super) fn serve(shared: Arc<Shared>, listener: TcpListener) -> io::Result<Server> {
+    let workers = shared.settings.workers.max(1);
+    let index = Arc::new(AtomicU64::new(0));
+    let server = HttpServer::new(move || {
+        let worker = Worker::start(shared.clone(), index.fetch_add(1, Ordering::Relaxed));
+        App::new().app_data(worker).default_service(web::to(handle))
+    })
+    .workers(workers)
+    // A caller that closes its side has gone: its call is cancelled.
+    .h1_allow_half_closed(false)
+    .client_request_timeout(Duration::from_secs(5))
+    .keep_alive(Duration::from_secs(75))
+    .tcp_nodelay(true)
+    .disable_signals()
+    .shutdown_timeout(SHUTDOWN_S)
+    .listen(listener)?
+    .run();
+    Ok(server)
+}
+
+/// Counts calls in flight.
+struct InFlight;
+
+impl InFlight {
+    fn new() -> Self {
+        metrics::gauge!("ibis_calls_in_flight").increment(1.0);
+        Self
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        metrics::gauge!("ibis_calls_in_flight").decrement(1.0);
+    }
+}
+
+async fn handle(req: HttpRequest, payload: Payload) -> HttpResponse {
+    let _in_flight = InFlight::new();
+    let Some(worker) = req.app_data::<Rc<Worker>>().cloned() else {
+        return HttpResponse::InternalServerError().finish();
+    };
+    let id = request::request_id(&req).unwrap_or_else(|| worker.random_id());
+    let snapshot = worker.shared.snapshot.load_full();
+    let unavailable = |kind, reason: &str| {
+        Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, kind, reason).response(&id, false)
+    };
+    if worker.is_draining(&snapshot) {
+        let mut response = unavailable("draining", "the node is stopping");
+        response.head_mut().set_connection_type(actix_web::http::ConnectionType::Close);
+        return response;
+    }
+    let Some(config) = snapshot.config.clone() else {
+        return unavailable("no-config", "the node has no configuration yet");
+    };
+    match accept(&worker, &config, &req, payload, &id).await {
+        Ok(response) => response,
+        Err(refusal) => refusal.response(&id, false),
+    }
+}
+
+/// Checks the request, claims the key of a booking, and makes the call.
+async fn accept(
+    worker: &Rc<Worker>,
+    config: &CompiledCatalogue,
+    req: &HttpRequest,
+    payload: Payload,
+    id: &RequestId,
+) -> Result<HttpResponse, Refusal> {
+    let path = req.uri().path();
+    let Some(entry) = config.match_entry(req.method().as_str(), path) else {
+        let reason = format!("no entry for {} {path}", req.method());
+        return Err(Refusal::not_run(StatusCode::NOT_FOUND, "unknown", reason));
+    };
+    metrics::counter!("ibis_calls_total", "entry" => entry.name.to_string()).increment(1);
+    let refused = |refusal: Refusal| {
+        worker.count_refused(&entry.name);
+        refusal
+    };
+    let settings = &worker.shared.settings;
+    let deadline = request::deadline(req, entry).map_err(refused)?;
+    let depth = request::depth(req, settings.max_depth).map_err(refused)?;
+    let key = match &entry.idempotency_header {
+        Some(name) => Some(request::idempotency_key(req, name).map_err(refused)?),
+        None => None,
+    };
+    let source = Source::read(req, payload, entry, settings.replay_body.0, deadline)
+        .await
+        .map_err(refused)?;
+    let path = req.uri().path_and_query().map_or("/", |p| p.as_str());
+    let claim = match key {
+        None => None,
+        Some(key) => {
+            let request = (req.method().as_str(), path, &source);
+            match claim::claim(worker, entry, key, request, deadline).await.map_err(refused)? {
+                Claimed::Granted(guard) => Some(guard),
+                Claimed::Recorded(answer) => return Ok(recorded_response(id, answer)),
+            }
+        }
+    };
+    let call = Call { worker, entry, req, path, id, deadline, depth, source };
+    Ok(call.run(claim).await)
+}
+
+/// What is known after an attempt.
+enum Attempted {
+    Answer(Answer),
+    Refusal(Refusal),
+}
+
+/// One call with all its attempts.
+struct Call<'a> {
+    worker: &'a Rc<Worker>,
+    entry: &'a Entry,
+    req: &'a HttpRequest,
+    path: &'a str,
+    id: &'a RequestId,
+    deadline: Instant,
+    depth: u8,
+    source: Source,
+}
+
+impl Call<'_> {
+    async fn run(&self, mut claim: Option<ClaimGuard>) -> HttpResponse {
+        let began = Instant::now();
+        let mut tried: Vec<InstanceId> = Vec::new();
+        let mut ran = Ran::NotRun;
+        let Some(mut attempt) = self.worker.choose(self.entry, self.id, &tried) else {
+            self.worker.count_refused(&self.entry.name);
+            let reason = format!("no target of {} is ready", self.entry.service);
+            let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-target", reason);
+            return refusal.response(self.id, false);
+        };
+        loop {
+            tried.push(attempt.endpoint.instance.clone());
+            if let Some(claim) = claim.as_mut() {
+                claim.set_may_have_run(true);
+            }
+            let attempted = self.attempt(attempt).await;
+            let outcome = outcome_of(&attempted);
+            if let Some(claim) = claim.as_mut() {
+                claim.set_may_have_run(outcome != AttemptOutcome::NotRun);
+            }
+            if outcome != AttemptOutcome::NotRun {
+                ran = Ran::MayHaveRun;
+            }
+            let Some(next) = self.next_attempt(&attempted, outcome, &tried) else {
+                return self.respond(attempted, outcome, ran, tried.len() > 1, claim, began);
+            };
+            if let Attempted::Answer(answer) = attempted {
+                answer.discard();
+            }
+            self.worker.count_retry(&self.entry.name, &next.version);
+            attempt = next;
+        }
+    }
+
+    /// Chooses a target for another attempt, if one is safe and affordable.
+    fn next_attempt(
+        &self,
+        attempted: &Attempted,
+        outcome: AttemptOutcome,
+        tried: &[InstanceId],
+    ) -> Option<Attempt> {
+        let (transient, retried) = match attempted {
+            Attempted::Answer(answer) => (answer.is_transient(), answer.is_retried()),
+            Attempted::Refusal(_) => (false, false),
+        };
+        let class = self.entry.class;
+        let safe = may_send_again(class, outcome, self.source.state(), transient) && !retried;
+        if !safe
+            || tried.len() >= self.worker.shared.settings.max_attempts
+            || Instant::now() >= self.deadline
+        {
+            return None;
+        }
+        let next = self.worker.choose(self.entry, self.id, tried)?;
+        let paid = !class.is_repeatable() || self.worker.take_retry(self.entry);
+        paid.then_some(next)
+    }
+
+    async fn attempt(&self, attempt: Attempt) -> Attempted {
+        let (body, _copying) = self.source.open();
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        let millis = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+        let head = CallHead {
+            request_id: self.id.0.clone(),
+            entry: self.entry.name.clone().into(),
+            config_version: attempt.config_version,
+            instance: attempt.endpoint.instance.clone().into(),
+            deadline_ms: millis.saturating_sub(REPLY_MARGIN_MS.min(millis / 10)),
+            depth: self.depth,
+            method: SmolStr::new(self.req.method().as_str()),
+            path: self.path.to_string(),
+            headers: request::end_to_end_headers(self.req),
+            body_bytes: self.source.len(),
+        };
+        let sent = timeout_at(self.deadline.into(), self.send(&attempt.endpoint, head, body)).await;
+        let reply = match sent {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(CallError::NotSent(e))) => {
+                attempt.finish(AttemptEnd::Unreachable, None);
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                return Attempted::Refusal(Refusal::not_run(status, "peer", e.to_string()));
+            }
+            Ok(Err(CallError::Failed(e))) => {
+                attempt.finish(AttemptEnd::Failed, None);
+                return Attempted::Refusal(self.failure("peer", e.to_string()));
+            }
+            Err(_) => {
+                attempt.finish(AttemptEnd::Failed, None);
+                return Attempted::Refusal(
+                    self.failure("deadline", "no answer in time".to_string()),
+                );
+            }
+        };
+        let CallReply { head, body } = reply;
+        match head {
+            ReplyHead::Answer { status, headers, body_bytes, load, .. } => {
+                Attempted::Answer(Answer { status, headers, body_bytes, body, load, attempt })
+            }
+            ReplyHead::Refused { reason, load, .. } => {
+                let unreachable = reason == RefusalWire::Unreachable;
+                let end = if unreachable { AttemptEnd::Unreachable } else { AttemptEnd::Refused };
+                attempt.finish(end, Some(load));
+                Attempted::Refusal(Refusal::of_target(reason))
+            }
+            ReplyHead::Failed { reason, load, .. } => {
+                attempt.finish(AttemptEnd::Failed, Some(load));
+                Attempted::Refusal(self.failure("target", reason.to_string()))
+            }
+        }
+    }
+
+    /// Sends a call to the node beside the target, or directly to a target beside this node.
+    async fn send(
+        &self,
+        endpoint: &Endpoint,
+        head: CallHead,
+        body: CallBody,
+    ) -> Result<CallReply, CallError> {
+        if !endpoint.local {
+            return self.worker.peers.call(endpoint.peer_addr, &head, body).await;
+        }
+        let ended = || {
+            let reason = "the dispatch thread has ended".to_string();
+            crate::peers::PeerError::Unreachable(endpoint.peer_addr, reason)
+        };
+        let (reply, rx) = oneshot::channel();
+        if !self.worker.shared.dispatch.call(CallJob { head, body, reply }) {
+            return Err(CallError::NotSent(ended()));
+        }
+        rx.await.map_err(|_| CallError::Failed(ended()))
+    }
+
+    fn failure(&self, kind: &'static str, reason: String) -> Refusal {
+        if let Some(refusal) = self.source.overrun() {
+            return refusal;
+        }
+        let passed = Instant::now() >= self.deadline;
+        let status =
+            if passed { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::SERVICE_UNAVAILABLE };
+        Refusal::may_have_run(status, kind, reason)
+    }
+
+    fn respond(
+        &self,
+        attempted: Attempted,
+        outcome: AttemptOutcome,
+        ran: Ran,
+        retried: bool,
+        claim: Option<ClaimGuard>,
+        began: Instant,
+    ) -> HttpResponse {
+        let answer = match attempted {
+            Attempted::Refusal(refusal) => {
+                // An earlier attempt may have run even if the last one did not.
+                return Refusal { ran, ..refusal }.response(self.id, retried);
+            }
+            Attempted::Answer(answer) => answer,
+        };
+        if let Some(service) =
+            answer.header(headers::SERVICE_MICROS).and_then(|v| v.parse::<f64>().ok())
+        {
+            let added = began.elapsed().as_secs_f64() - service / 1e6;
+            metrics::histogram!("ibis_added_latency_seconds").record(added.max(0.0));
+        }
+        let cx = ResponseCx {
+            worker: self.worker,
+            entry: self.entry,
+            id: self.id,
+            head_only: self.req.method() == Method::HEAD,
+            deadline: self.deadline,
+            retried,
+        };
+        // The claim of a request that provably did not run is released, not recorded.
+        let claim = claim.filter(|_| outcome != AttemptOutcome::NotRun);
+        answer_response(&cx, answer, claim)
+    }
+}
+
+fn outcome_of(attempted: &Attempted) -> AttemptOutcome {
+    match attempted {
+        Attempted::Answer(answer) if answer.is_not_run() => AttemptOutcome::NotRun,
+        Attempted::Answer(_) => AttemptOutcome::Answer,
+        Attempted::Refusal(refusal) if refusal.ran == Ran::NotRun => AttemptOutcome::NotRun,
+        Attempted::Refusal(_) => AttemptOutcome::MayHaveRun,
+    }
+}
--- a/crates/ibisroute/src/traffic/mod.rs
+++ b/crates/ibisroute/src/traffic/mod.rs
@@ -1,1 +1,26 @@
 //! Calls: listener, routing, admission, retries and dispatch to targets.
+
+pub mod admission;
+pub mod balancer;
+pub mod call;
+mod claim;
+pub mod dispatch;
+pub mod failure_run;
+pub mod headers;
+mod ingress;
+pub mod refusal;
+mod request;
+mod response;
+pub mod retry;
+pub mod routing;
+mod target_client;
+mod threads;
+pub mod token_bucket;
+pub mod traffic_settings;
+mod worker;
+
+pub use self::dispatch::DispatchHandle;
+pub use self::dispatch::LocalTarget;
+pub use self::threads::TrafficContext;
+pub use self::threads::TrafficThreads;
+pub use self::threads::start;
--- /dev/null
+++ b/crates/ibisroute/src/traffic/threads.rs
@@ -0,0 +1,189 @@
+//! Start, drain and stop of the traffic threads.
+
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Instant;
+
+use actix_web::dev::ServerHandle;
+use arc_swap::ArcSwap;
+use eyre::WrapErr;
+use eyre::eyre;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use super::dispatch::DispatchHandle;
+use super::dispatch::DispatchWork;
+use super::dispatch::Dispatcher;
+use super::ingress;
+use super::traffic_settings::TrafficSettings;
+use super::worker::Shared;
+use crate::events;
+use crate::events::traffic;
+use crate::node::handle::ControlHandle;
+use crate::peers::peer_settings::PeerSettings;
+use crate::peers::server::PeerServer;
+use crate::snapshot::Snapshot;
+use crate::types::DataCentre;
+use crate::types::Millis;
+use crate::types::NodeId;
+
+/// What the traffic threads need.
+#[derive(Debug)]
+pub struct TrafficContext {
+    /// This node.
+    pub node: NodeId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Bound listener for callers.
+    pub callers: TcpListener,
+    /// Bound listener for peers.
+    pub peers: TcpListener,
+    /// The view that decides on calls.
+    pub snapshot: Arc<ArcSwap<Snapshot>>,
+    /// The control thread.
+    pub control: ControlHandle,
+    /// Settings of traffic.
+    pub traffic_settings: TrafficSettings,
+    /// Settings of streams between nodes.
+    pub peer_settings: PeerSettings,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// The running traffic threads.
+#[derive(Debug)]
+pub struct TrafficThreads {
+    dispatch: DispatchHandle,
+    callers: ServerHandle,
+    peers_stop: watch::Sender<bool>,
+    peers_ended: watch::Receiver<bool>,
+    draining: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// Starts the traffic threads; they serve when this returns.
+pub fn start(cx: TrafficContext) -> eyre::Result<TrafficThreads> {
+    let (tx, rx) = mpsc::unbounded_channel();
+    let dispatch = DispatchHandle { tx };
+    let (peers_stop, stopped) = watch::channel(false);
+    let (peers_done, peers_ended) = watch::channel(false);
+    let draining = Arc::new(AtomicBool::new(false));
+    cx.peers.set_nonblocking(true).wrap_err("peer listener")?;
+    let peers = cx.peers;
+    let (control, snapshot) = (cx.control.clone(), cx.snapshot.clone());
+    let (traffic_settings, peer_settings) = (cx.traffic_settings, cx.peer_settings);
+    let dispatch_thread = spawn("dispatch", move |ready| async move {
+        let listener = match tokio::net::TcpListener::from_std(peers) {
+            Ok(listener) => listener,
+            Err(e) => return drop(ready.send(Err(eyre!(e).wrap_err("peer listener")))),
+        };
+        let dispatcher = Dispatcher::new(traffic_settings, snapshot, control.clone());
+        let calls = dispatcher.clone();
+        let server = PeerServer {
+            settings: peer_settings,
+            control,
+            calls: std::rc::Rc::new(move |job| calls.clone().start_call(job)),
+        };
+        let _ = ready.send(Ok(()));
+        actix_rt::spawn(async move {
+            server.run(listener, stopped).await;
+            // Nobody waits when the node stops without a drain.
+            let _ = peers_done.send(true);
+        });
+        dispatcher.run(rx).await;
+    })?;
+    let shared = Arc::new(Shared {
+        node: cx.node,
+        data_centre: cx.data_centre,
+        snapshot: cx.snapshot,
+        control: cx.control,
+        dispatch: dispatch.clone(),
+        settings: cx.traffic_settings,
+        peer_settings: cx.peer_settings,
+        stopped_moves: ArcSwap::from_pointee(BTreeMap::new()),
+        draining: draining.clone(),
+        started: Instant::now(),
+        seed: cx.seed,
+    });
+    let (handle_tx, handle_rx) = std::sync::mpsc::channel();
+    let listener = cx.callers;
+    let callers_thread = spawn("callers", move |ready| async move {
+        match ingress::serve(shared, listener) {
+            Ok(server) => {
+                let _ = handle_tx.send(server.handle());
+                let _ = ready.send(Ok(()));
+                // Ends when the handle stops the server; there is nothing to do about an error.
+                let _ = server.await;
+            }
+            Err(e) => drop(ready.send(Err(eyre!(e).wrap_err("caller listener")))),
+        }
+    })?;
+    let callers = handle_rx.recv().wrap_err("caller thread ended")?;
+    let threads = vec![dispatch_thread, callers_thread];
+    Ok(TrafficThreads { dispatch, callers, peers_stop, peers_ended, draining, threads })
+}
+
+/// Starts a thread with an actix system and waits until `f` reports that it is ready.
+fn spawn<F, Fut>(name: &str, f: F) -> eyre::Result<JoinHandle<()>>
+where
+    F: FnOnce(std::sync::mpsc::Sender<eyre::Result<()>>) -> Fut + Send + 'static,
+    Fut: Future<Output = ()> + 'static,
+{
+    let (tx, rx) = std::sync::mpsc::channel();
+    let thread = thread::Builder::new()
+        .name(name.to_string())
+        .spawn(move || actix_rt::System::new().block_on(f(tx)))
+        .wrap_err("thread not started")?;
+    rx.recv().wrap_err("thread ended at its start")??;
+    Ok(thread)
+}
+
+impl TrafficThreads {
+    /// Handle for commands about the targets beside this node.
+    pub fn dispatch(&self) -> DispatchHandle {
+        self.dispatch.clone()
+    }
+
+    /// Refuses new calls and waits at most `limit` until those in flight have ended. Returns
+    /// whether all have ended; the threads keep running until [`TrafficThreads::stop`].
+    pub async fn drain(&self, limit: Millis) -> bool {
+        self.draining.store(true, Ordering::Release);
+        let drained = timeout(limit.to_duration(), async {
+            self.callers.stop(true).await;
+            self.dispatch.send(DispatchWork::DrainAll);
+            // Receivers exist as long as the dispatch thread runs.
+            let _ = self.peers_stop.send(true);
+            let (tx, rx) = oneshot::channel();
+            self.dispatch.send(DispatchWork::Idle(tx));
+            let _ = rx.await;
+            // Replies may still be on their way to peers after the last call has ended.
+            let _ = self.peers_ended.clone().wait_for(|ended| *ended).await;
+        });
+        let drained = drained.await.is_ok();
+        if !drained {
+            events::emit(&traffic::DRAIN_CUT, format_args!("not drained within {limit}"));
+        }
+        drained
+    }
+
+    /// Ends the threads at once and waits for them; calls in flight are cut.
+    pub async fn stop(self) {
+        self.draining.store(true, Ordering::Release);
+        self.callers.stop(false).await;
+        self.dispatch.send(DispatchWork::Stop);
+        let joined = tokio::task::spawn_blocking(move || {
+            for thread in self.threads {
+                // A panic was already printed by its thread.
+                let _ = thread.join();
+            }
+        });
+        let _ = joined.await;
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/src/traffic/worker.rs
@@ -0,0 +1,305 @@
+//! State of one thread that serves callers.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::balancer::Balancer;
+use super::balancer::Observed;
+use super::dispatch::DispatchHandle;
+use super::failure_run::FailureRuns;
+use super::retry::RetryBudget;
+use super::routing::RouteInput;
+use super::routing::choose_version;
+use super::token_bucket::TokenBucket;
+use super::traffic_settings::TrafficSettings;
+use crate::catalogue::model::Entry;
+use crate::events;
+use crate::events::traffic;
+use crate::node::handle::ControlHandle;
+use crate::node::handle::ControlWork;
+use crate::peers::client::PeerClient;
+use crate::peers::peer_settings::PeerSettings;
+use crate::snapshot::Endpoint;
+use crate::snapshot::Snapshot;
+use crate::telemetry::TrafficCounts;
+use crate::types::DataCentre;
+use crate::types::EntryName;
+use crate::types::InstanceId;
+use crate::types::Millis;
+use crate::types::MoveId;
+use crate::types::NodeId;
+use crate::types::RequestId;
+use crate::types::VersionName;
+use crate::wire::LoadWire;
+
+/// Targets that got no call for this time are forgotten.
+const FORGET_TARGETS: Millis = Millis(60_000);
+
+/// What all threads that serve callers share.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub(super) node: NodeId,
+    pub(super) data_centre: DataCentre,
+    pub(super) snapshot: Arc<ArcSwap<Snapshot>>,
+    pub(super) control: ControlHandle,
+    pub(super) dispatch: DispatchHandle,
+    pub(super) settings: TrafficSettings,
+    pub(super) peer_settings: PeerSettings,
+    /// Moves whose share this node stopped, and until when.
+    pub(super) stopped_moves: ArcSwap<BTreeMap<MoveId, Millis>>,
+    pub(super) draining: Arc<AtomicBool>,
+    pub(super) started: Instant,
+    pub(super) seed: u64,
+}
+
+impl Shared {
+    /// The shared clock.
+    pub(super) fn now(&self) -> Millis {
+        self.started.elapsed().into()
+    }
+}
+
+/// State of one thread.
+pub(super) struct Worker {
+    pub(super) shared: Arc<Shared>,
+    pub(super) peers: PeerClient,
+    balancer: RefCell<Balancer>,
+    buckets: RefCell<BTreeMap<MoveId, TokenBucket>>,
+    budgets: RefCell<BTreeMap<EntryName, RetryBudget>>,
+    runs: RefCell<FailureRuns>,
+    counts: RefCell<TrafficCounts>,
+    rng: RefCell<SmallRng>,
+}
+
+impl Worker {
+    /// Makes the state and starts its reports to the control thread.
+    pub(super) fn start(shared: Arc<Shared>, index: u64) -> Rc<Self> {
+        let seed = shared.seed.wrapping_add(index.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let worker = Rc::new(Self {
+            peers: PeerClient::new(shared.peer_settings),
+            balancer: RefCell::new(Balancer::new(shared.settings, seed)),
+            buckets: RefCell::default(),
+            budgets: RefCell::default(),
+            runs: RefCell::default(),
+            counts: RefCell::default(),
+            rng: RefCell::new(SmallRng::seed_from_u64(!seed)),
+            shared,
+        });
+        let weak = Rc::downgrade(&worker);
+        actix_rt::spawn(async move {
+            while let Some(worker) = weak.upgrade() {
+                worker.report();
+                let interval = worker.shared.settings.count_interval.to_duration();
+                drop(worker);
+                actix_rt::time::sleep(interval).await;
+            }
+        });
+        worker
+    }
+
+    /// 128 random bits as an id.
+    pub(super) fn random_id(&self) -> RequestId {
+        RequestId::from_bits(self.rng.borrow_mut().random())
+    }
+
+    /// Whether new calls are refused.
+    pub(super) fn is_draining(&self, snapshot: &Snapshot) -> bool {
+        snapshot.draining || self.shared.draining.load(Ordering::Acquire)
+    }
+
+    /// Chooses version and target of an attempt. `None` when there is no untried target.
+    pub(super) fn choose(
+        self: &Rc<Self>,
+        entry: &Entry,
+        id: &RequestId,
+        tried: &[InstanceId],
+    ) -> Option<Attempt> {
+        let now = self.shared.now();
+        let snapshot = self.shared.snapshot.load();
+        let config = snapshot.config.as_ref()?;
+        let service = config.service(&entry.service)?;
+        let ready = &snapshot.endpoints.services.get(&service.name)?.ready;
+        let untried: Vec<Endpoint> =
+            ready.iter().filter(|e| !tried.contains(&e.instance)).cloned().collect();
+        let declared = config.move_of(&service.name);
+        let input = RouteInput {
+            service,
+            declared,
+            view: declared.and_then(|m| snapshot.moves.get(&m.id)),
+            stopped: declared.is_some_and(|m| self.is_stopped(&m.id, now)),
+            threads: self.shared.settings.workers,
+            request_id: id,
+            ready: &untried,
+        };
+        let version = match declared {
+            Some(m) => {
+                let mut buckets = self.buckets.borrow_mut();
+                choose_version(input, buckets.entry(m.id.clone()).or_default(), now)?
+            }
+            None => choose_version(input, &mut TokenBucket::default(), now)?,
+        };
+        let candidates: Vec<&Endpoint> = ready.iter().filter(|e| e.version == version).collect();
+        let own = &self.shared.data_centre;
+        let instance = self.balancer.borrow_mut().choose(now, own, &candidates, tried)?;
+        let endpoint = candidates.into_iter().find(|e| e.instance == instance)?.clone();
+        let move_id = declared.filter(|m| m.to == version).map(|m| m.id.clone());
+        Some(Attempt {
+            worker: self.clone(),
+            entry: entry.name.clone(),
+            config_version: config.head.version.0,
+            endpoint,
+            version,
+            move_id,
+            began: Instant::now(),
+            ended: false,
+        })
+    }
+
+    /// Takes a retry of a repeatable call from the budget.
+    pub(super) fn take_retry(&self, entry: &Entry) -> bool {
+        let settings = &self.shared.settings;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget =
+            budgets.entry(entry.name.clone()).or_insert_with(|| RetryBudget::new(settings));
+        budget.take(self.shared.now(), settings)
+    }
+
+    /// Earns the share of a success.
+    pub(super) fn earn_retry(&self, entry: &Entry) {
+        let settings = &self.shared.settings;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget =
+            budgets.entry(entry.name.clone()).or_insert_with(|| RetryBudget::new(settings));
+        budget.succeeded(entry.limits.retry);
+    }
+
+    /// Counts an attempt beyond the first.
+    pub(super) fn count_retry(&self, entry: &EntryName, version: &VersionName) {
+        metrics::counter!("ibis_retries_total").increment(1);
+        self.counts.borrow_mut().of(entry, Some(version)).retries += 1;
+    }
+
+    /// Counts a call that was refused before a version was chosen.
+    pub(super) fn count_refused(&self, entry: &EntryName) {
+        let mut counts = self.counts.borrow_mut();
+        let counts = counts.of(entry, None);
+        counts.calls += 1;
+        counts.refused += 1;
+    }
+
+    fn is_stopped(&self, id: &MoveId, now: Millis) -> bool {
+        self.shared.stopped_moves.load().get(id).is_some_and(|until| *until > now)
+    }
+
+    fn report(&self) {
+        self.balancer.borrow_mut().forget(self.shared.now(), FORGET_TARGETS);
+        let counts = std::mem::take(&mut *self.counts.borrow_mut());
+        if !counts.outcomes.is_empty() {
+            // The control thread ends only when the node stops.
+            let _ = self.shared.control.send(ControlWork::Counts(counts));
+        }
+    }
+
+    fn record_run(&self, id: &MoveId, failed: bool) {
+        let shared = &self.shared;
+        let now = shared.now();
+        let over = self.runs.borrow_mut().record(id, failed, shared.settings.failure_run);
+        if !over || self.is_stopped(id, now) {
+            return;
+        }
+        let until = Millis(now.0 + shared.settings.failure_run_hold.0);
+        shared.stopped_moves.rcu(|stopped| {
+            let mut stopped = BTreeMap::clone(stopped);
+            stopped.retain(|_, until| *until > now);
+            stopped.insert(id.clone(), until);
+            stopped
+        });
+        events::emit(&traffic::SHARE_STOPPED, format_args!("{id} on {}", shared.node));
+        // The control thread ends only when the node stops.
+        let _ = shared.control.send(ControlWork::FailureRun(id.clone()));
+    }
+}
+
+impl Drop for Worker {
+    fn drop(&mut self) {
+        self.report();
+    }
+}
+
+/// How an attempt ended, for the counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AttemptEnd {
+    /// A good answer, whole.
+    Answered,
+    /// The target failed: 5xx, reset, no whole answer in time.
+    Failed,
+    /// The target cannot be connected to: nothing ran, but the fault is the target's.
+    Unreachable,
+    /// Nothing ran; says nothing about the target's health.
+    Refused,
+}
+
+/// An attempt on a chosen target; counted as abandoned when dropped.
+pub(super) struct Attempt {
+    worker: Rc<Worker>,
+    entry: EntryName,
+    pub(super) config_version: u64,
+    pub(super) endpoint: Endpoint,
+    pub(super) version: VersionName,
+    move_id: Option<MoveId>,
+    pub(super) began: Instant,
+    ended: bool,
+}
+
+impl Attempt {
+    /// Ends the attempt and counts it.
+    pub(super) fn finish(mut self, end: AttemptEnd, load: Option<LoadWire>) {
+        self.ended = true;
+        let failed = matches!(end, AttemptEnd::Failed | AttemptEnd::Unreachable);
+        let observed = match end {
+            AttemptEnd::Answered => Observed::Success,
+            AttemptEnd::Refused => Observed::Neutral,
+            AttemptEnd::Failed | AttemptEnd::Unreachable => Observed::Failure,
+        };
+        self.release(observed, load);
+        let not_run = matches!(end, AttemptEnd::Refused | AttemptEnd::Unreachable);
+        {
+            let mut counts = self.worker.counts.borrow_mut();
+            let counts = counts.of(&self.entry, Some(&self.version));
+            counts.calls += 1;
+            counts.failures += u64::from(failed);
+            counts.refused += u64::from(not_run);
+            if !not_run {
+                let micros = self.began.elapsed().as_micros();
+                counts.latency.record(u64::try_from(micros).unwrap_or(u64::MAX));
+            }
+        }
+        if let Some(id) = self.move_id.as_ref().filter(|_| end != AttemptEnd::Refused) {
+            self.worker.record_run(id, failed);
+        }
+    }
+
+    fn release(&self, observed: Observed, load: Option<LoadWire>) {
+        let now = self.worker.shared.now();
+        let mut balancer = self.worker.balancer.borrow_mut();
+        balancer.finish(now, &self.endpoint.instance, observed, load);
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.release(Observed::Neutral, None);
+        }
+    }
+}
