--- a/crates/ibisroute/src/events/node.rs
+++ b/crates/ibisroute/src/events/node.rs
@@ -61,12 +61,5 @@
 };
 
 /// Codes in the order of their numbers.
-pub const CODES: &[EventCode] = &[
-    STARTED,
-    SERVING,
-    DRAINING,
-    STOPPED,
-    TARGET_ANNOUNCED,
-    TARGET_DRAINING,
-    TARGET_GONE,
-];
+pub const CODES: &[EventCode] =
+    &[STARTED, SERVING, DRAINING, STOPPED, TARGET_ANNOUNCED, TARGET_DRAINING, TARGET_GONE];
--- a/crates/ibisroute/src/events/page.rs
+++ b/crates/ibisroute/src/events/page.rs
@@ -15,7 +15,8 @@
     for code in all() {
         let level = code.level.as_str().to_ascii_lowercase();
         // Writing to a string cannot fail.
-        let _ = writeln!(page, "| {} | {level} | `{}` | {} |", code.number, code.name, code.meaning);
+        let _ =
+            writeln!(page, "| {} | {level} | `{}` | {} |", code.number, code.name, code.meaning);
     }
     page
 }
--- a/crates/ibisroute/src/node/admin.rs
+++ b/crates/ibisroute/src/node/admin.rs
@@ -173,7 +173,9 @@
 
 async fn members(admin: web::Data<Admin>) -> HttpResponse {
     match admin.actors.membership.send(QueryMembers).await {
-        Ok(view) => HttpResponse::Ok().json(MembersAnswer { local: view.local, members: view.members }),
+        Ok(view) => {
+            HttpResponse::Ok().json(MembersAnswer { local: view.local, members: view.members })
+        }
         Err(e) => ended(e),
     }
 }
@@ -215,10 +217,7 @@
     HttpResponse::Accepted().finish()
 }
 
-async fn announce(
-    admin: web::Data<Admin>,
-    target: web::Json<TargetAnnouncement>,
-) -> HttpResponse {
+async fn announce(admin: web::Data<Admin>, target: web::Json<TargetAnnouncement>) -> HttpResponse {
     let target = target.into_inner();
     if target.slots == 0 || target.connections == 0 {
         return failure(StatusCode::BAD_REQUEST, "slots and connections must be at least 1");
--- a/crates/ibisroute/src/node/run.rs
+++ b/crates/ibisroute/src/node/run.rs
@@ -207,12 +207,9 @@
         subscribers: vec![view.clone().recipient(), membership.clone().recipient()],
     })
     .start();
-    let claims = ClaimsActor::new(
-        cfg.claims.clone(),
-        parts.platform.clone(),
-        parts.transport.clone(),
-    )
-    .start();
+    let claims =
+        ClaimsActor::new(cfg.claims.clone(), parts.platform.clone(), parts.transport.clone())
+            .start();
     let uploads =
         UploadsActor::new(cfg.uploads.clone(), parts.platform.clone(), cx.bound.caller).start();
     let targets = TargetsActor::new(
