Add the platform and target stand-ins

Cause: the modules of ibisroute are tested against a platform and targets that this repository writes itself. Change: PlatformStandin serves the table and object protocol with outages, ceilings, latency and lost answers. TargetStandin runs calls on slots, announces itself to its node, injects faults and records every request that it ran. Answers carry checksums, so that a caller can check that they are whole and its own. A blocking HTTP client and bounded waits serve the tests.

--- /dev/null
+++ b/crates/standins/src/bin/caller_standin.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/standins/src/platform/mod.rs
@@ -0,0 +1,489 @@
+//! Stand-in for the platform: a transactional table and an object store behind the HTTP protocol of
+//! `docs/design.md`, section 3.2, with settable faults.
+//!
+//! Besides the protocol it serves `GET` and `POST /standin/faults` (a whole [`PlatformFaults`]
+//! document replaces the faults in force) and `GET /standin/counters`.
+
+pub mod faults;
+pub mod table;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::mpsc;
+use std::sync::mpsc::RecvTimeoutError;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::body::BodySize;
+use actix_web::body::MessageBody;
+use actix_web::web;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::StreamExt;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+
+use crate::server::HttpThread;
+use crate::server::bind_again;
+use crate::server::cut;
+use crate::server::lock;
+
+use self::faults::Ceiling;
+use self::faults::LostBy;
+use self::faults::Outage;
+use self::faults::PlatformFaults;
+use self::table::Row;
+use self::table::Store;
+use self::table::Stored;
+use self::table::Transaction;
+
+/// Largest request body.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// Rows in an answer to a scan at most, and when the request names no limit.
+const MAX_SCAN_ROWS: usize = 1000;
+
+/// The platform accepts far more connections than a fleet opens.
+const MAX_CONNECTIONS: usize = 20_000;
+
+/// What the stand-in counted since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counters {
+    /// Reads that were run.
+    pub reads: u64,
+    /// Writes that were run, with or without conflict.
+    pub writes: u64,
+    /// Transactions that met a conflict.
+    pub conflicts: u64,
+    /// Requests refused by an outage or a ceiling.
+    pub refused: u64,
+    /// Answers that were lost after the write took effect.
+    pub lost: u64,
+    /// Bytes of request bodies.
+    pub bytes_in: u64,
+    /// Bytes of response bodies.
+    pub bytes_out: u64,
+}
+
+struct State {
+    store: Store,
+    faults: PlatformFaults,
+    counters: Counters,
+    reads: Ceiling,
+    writes: Ceiling,
+    rng: SmallRng,
+    supervisor: mpsc::Sender<Command>,
+}
+
+#[derive(Clone)]
+struct Shared(Arc<Mutex<State>>);
+
+enum Command {
+    Outage(Outage, Option<Duration>),
+    Stop,
+}
+
+/// A running platform stand-in; it stops when it is dropped.
+pub struct PlatformStandin {
+    addr: SocketAddr,
+    shared: Shared,
+    supervisor: mpsc::Sender<Command>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl PlatformStandin {
+    /// Starts a stand-in that listens on `addr`; port 0 lets the system choose.
+    pub fn start(addr: SocketAddr) -> io::Result<Self> {
+        let (supervisor, commands) = mpsc::channel();
+        let shared = Shared(Arc::new(Mutex::new(State {
+            store: Store::default(),
+            faults: PlatformFaults::default(),
+            counters: Counters::default(),
+            reads: Ceiling::default(),
+            writes: Ceiling::default(),
+            rng: SmallRng::seed_from_u64(PlatformFaults::default().seed),
+            supervisor: supervisor.clone(),
+        })));
+        let server = shared.serve(std::net::TcpListener::bind(addr)?)?;
+        let addr = server.addr();
+        let supervised = shared.clone();
+        let thread = std::thread::Builder::new()
+            .name("platform-standin".to_string())
+            .spawn(move || supervise(&supervised, server, &commands))?;
+        Ok(Self { addr, shared, supervisor, thread: Some(thread) })
+    }
+
+    /// The address it listens on; it stays the same across outages.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        self.shared.set_faults(faults);
+    }
+
+    /// The faults in force.
+    pub fn faults(&self) -> PlatformFaults {
+        self.shared.lock().faults.clone()
+    }
+
+    /// What it counted since its start.
+    pub fn counters(&self) -> Counters {
+        self.shared.lock().counters
+    }
+
+    /// Reads a row directly, past all faults and counters.
+    pub fn row(&self, key: &str) -> Option<Row> {
+        self.shared.lock().store.row(key)
+    }
+
+    /// Reads all rows with this prefix directly, past all faults and counters.
+    pub fn rows(&self, prefix: &str) -> Vec<Row> {
+        self.shared.lock().store.scan(prefix, "", usize::MAX)
+    }
+
+    /// Names of the objects with this prefix, past all faults and counters.
+    pub fn object_names(&self, prefix: &str) -> Vec<String> {
+        self.shared.lock().store.object_names(prefix)
+    }
+
+    /// Runs `f` on the store directly, past all faults and counters.
+    pub fn with_store<T>(&self, f: impl FnOnce(&mut Store) -> T) -> T {
+        f(&mut self.shared.lock().store)
+    }
+}
+
+impl Drop for PlatformStandin {
+    fn drop(&mut self) {
+        let _ = self.supervisor.send(Command::Stop);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Closes and opens the port, and ends outages that have a length.
+fn supervise(shared: &Shared, server: HttpThread, commands: &mpsc::Receiver<Command>) {
+    let addr = server.addr();
+    let mut server = Some(server);
+    let mut until: Option<Instant> = None;
+    loop {
+        let command = match until {
+            None => commands.recv().map_err(|_| RecvTimeoutError::Disconnected),
+            Some(at) => commands.recv_timeout(at.saturating_duration_since(Instant::now())),
+        };
+        let outage = match command {
+            Ok(Command::Outage(outage, length)) => {
+                until = length.map(|length| Instant::now() + length);
+                outage
+            }
+            Err(RecvTimeoutError::Timeout) => {
+                until = None;
+                shared.lock().faults.outage = Outage::None;
+                Outage::None
+            }
+            Ok(Command::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+        };
+        if outage == Outage::Refused {
+            server = None;
+        } else if server.is_none() {
+            server = bind_again(addr).and_then(|listener| shared.serve(listener)).ok();
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    Read,
+    Write,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        lock(&self.0)
+    }
+
+    fn serve(&self, listener: std::net::TcpListener) -> io::Result<HttpThread> {
+        let shared = self.clone();
+        HttpThread::start(listener, MAX_CONNECTIONS, move |cfg| {
+            cfg.app_data(web::Data::new(shared.clone()))
+                .route("/table/transact", web::post().to(transact))
+                .route("/table/row", web::get().to(row))
+                .route("/table/scan", web::get().to(scan))
+                .route("/objects/{name:.*}", web::put().to(put_object))
+                .route("/objects/{name:.*}", web::get().to(object))
+                .route("/objects/{name:.*}", web::delete().to(delete_object))
+                .route("/standin/faults", web::get().to(faults))
+                .route("/standin/faults", web::post().to(set_faults))
+                .route("/standin/counters", web::get().to(counters));
+        })
+    }
+
+    fn set_faults(&self, faults: PlatformFaults) {
+        let mut state = self.lock();
+        state.rng = SmallRng::seed_from_u64(faults.seed);
+        let length = faults.outage_ms.map(Duration::from_millis);
+        let _ = state.supervisor.send(Command::Outage(faults.outage, length));
+        state.faults = faults;
+    }
+
+    /// Applies outage and ceilings; returns half of the request's latency.
+    async fn admit(&self, kind: Kind, bytes_in: usize) -> Result<Duration, HttpResponse> {
+        let hanging = {
+            let mut state = self.lock();
+            state.counters.bytes_in += bytes_in as u64;
+            match state.faults.outage {
+                Outage::Unavailable => {
+                    state.counters.refused += 1;
+                    return Err(HttpResponse::ServiceUnavailable()
+                        .json(json!({"error": "the platform has an outage"})));
+                }
+                Outage::Refused | Outage::Hanging => {
+                    state.counters.refused += 1;
+                    true
+                }
+                Outage::None => false,
+            }
+        };
+        if hanging {
+            return std::future::pending().await;
+        }
+        let mut state = self.lock();
+        let state = &mut *state;
+        let now = Instant::now();
+        let admitted = match kind {
+            Kind::Read => state.reads.admit(now, state.faults.read_ceiling),
+            Kind::Write => state.writes.admit(now, state.faults.write_ceiling),
+        };
+        if !admitted {
+            state.counters.refused += 1;
+            return Err(
+                HttpResponse::TooManyRequests().json(json!({"error": "over the rate ceiling"}))
+            );
+        }
+        match kind {
+            Kind::Read => state.counters.reads += 1,
+            Kind::Write => state.counters.writes += 1,
+        }
+        let (low, high) = state.faults.latency_ms;
+        let micros = state.rng.random_range(low * 1000..=high.max(low) * 1000);
+        Ok(Duration::from_micros(micros / 2))
+    }
+
+    /// Runs a read.
+    async fn read(&self, f: impl FnOnce(&Store) -> HttpResponse) -> HttpResponse {
+        let half = match self.admit(Kind::Read, 0).await {
+            Ok(half) => half,
+            Err(refusal) => return refusal,
+        };
+        pause(half).await;
+        let response = {
+            let mut state = self.lock();
+            let response = f(&state.store);
+            state.counters.bytes_out += body_bytes(&response);
+            response
+        };
+        pause(half).await;
+        response
+    }
+
+    /// Runs a write whose answer may be lost.
+    async fn write(
+        &self,
+        req: &HttpRequest,
+        bytes_in: usize,
+        f: impl FnOnce(&mut State) -> HttpResponse,
+    ) -> HttpResponse {
+        let half = match self.admit(Kind::Write, bytes_in).await {
+            Ok(half) => half,
+            Err(refusal) => return refusal,
+        };
+        pause(half).await;
+        let (response, lost) = {
+            let mut state = self.lock();
+            let response = f(&mut state);
+            state.counters.bytes_out += body_bytes(&response);
+            (response, state.lose_answer())
+        };
+        pause(half).await;
+        match lost {
+            None => response,
+            Some(LostBy::Close) => {
+                cut(req);
+                response
+            }
+            Some(LostBy::Silence) => std::future::pending().await,
+        }
+    }
+}
+
+impl State {
+    fn lose_answer(&mut self) -> Option<LostBy> {
+        let share = self.faults.lose_share.clamp(0.0, 1.0);
+        let lost = if self.faults.lose_next > 0 {
+            self.faults.lose_next -= 1;
+            true
+        } else {
+            share > 0.0 && self.rng.random_bool(share)
+        };
+        self.counters.lost += u64::from(lost);
+        lost.then_some(self.faults.lose_by)
+    }
+}
+
+fn body_bytes(response: &HttpResponse) -> u64 {
+    match response.body().size() {
+        BodySize::Sized(bytes) => bytes,
+        BodySize::None | BodySize::Stream => 0,
+    }
+}
+
+async fn pause(time: Duration) {
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
+}
+
+async fn whole(mut payload: web::Payload) -> Result<Bytes, HttpResponse> {
+    let mut buf = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk =
+            chunk.map_err(|e| HttpResponse::BadRequest().json(json!({"error": e.to_string()})))?;
+        if buf.len() + chunk.len() > MAX_BODY_BYTES {
+            return Err(HttpResponse::PayloadTooLarge().finish());
+        }
+        buf.extend_from_slice(&chunk);
+    }
+    Ok(buf.freeze())
+}
+
+async fn transact(
+    req: HttpRequest,
+    shared: web::Data<Shared>,
+    payload: web::Payload,
+) -> HttpResponse {
+    let body = match whole(payload).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal,
+    };
+    let transaction: Transaction = match serde_json::from_slice(&body) {
+        Ok(transaction) => transaction,
+        Err(e) => return HttpResponse::BadRequest().json(json!({"error": e.to_string()})),
+    };
+    shared
+        .write(&req, body.len(), |state| match state.store.transact(transaction) {
+            Ok(revisions) => {
+                HttpResponse::Ok().json(json!({"committed": true, "revisions": revisions}))
+            }
+            Err(conflicts) => {
+                state.counters.conflicts += 1;
+                HttpResponse::Conflict().json(json!({"committed": false, "conflicts": conflicts}))
+            }
+        })
+        .await
+}
+
+#[derive(Deserialize)]
+struct RowQuery {
+    key: String,
+}
+
+async fn row(shared: web::Data<Shared>, query: web::Query<RowQuery>) -> HttpResponse {
+    shared
+        .read(|store| match store.row(&query.key) {
+            Some(row) => HttpResponse::Ok().json(row),
+            None => HttpResponse::NotFound().json(json!({"error": "no such row"})),
+        })
+        .await
+}
+
+#[derive(Deserialize)]
+struct ScanQuery {
+    #[serde(default)]
+    prefix: String,
+    #[serde(default)]
+    after: String,
+    limit: Option<usize>,
+}
+
+async fn scan(shared: web::Data<Shared>, query: web::Query<ScanQuery>) -> HttpResponse {
+    let limit = query.limit.unwrap_or(MAX_SCAN_ROWS).min(MAX_SCAN_ROWS);
+    shared
+        .read(|store| {
+            let rows = store.scan(&query.prefix, &query.after, limit);
+            HttpResponse::Ok().json(json!({"rows": rows}))
+        })
+        .await
+}
+
+async fn put_object(
+    req: HttpRequest,
+    shared: web::Data<Shared>,
+    name: web::Path<String>,
+    payload: web::Payload,
+) -> HttpResponse {
+    let body = match whole(payload).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal,
+    };
+    shared
+        .write(&req, body.len(), |state| match state.store.put_object(&name, body) {
+            Stored::Created => HttpResponse::Created().finish(),
+            Stored::Same => HttpResponse::Ok().finish(),
+            Stored::Different => {
+                HttpResponse::Conflict().json(json!({"error": "the object has other bytes"}))
+            }
+        })
+        .await
+}
+
+async fn object(shared: web::Data<Shared>, name: web::Path<String>) -> HttpResponse {
+    shared
+        .read(|store| match store.object(&name) {
+            Some(bytes) => HttpResponse::Ok().content_type("application/octet-stream").body(bytes),
+            None => HttpResponse::NotFound().json(json!({"error": "no such object"})),
+        })
+        .await
+}
+
+async fn delete_object(
+    req: HttpRequest,
+    shared: web::Data<Shared>,
+    name: web::Path<String>,
+) -> HttpResponse {
+    shared
+        .write(&req, 0, |state| {
+            state.store.delete_object(&name);
+            HttpResponse::NoContent().finish()
+        })
+        .await
+}
+
+async fn faults(shared: web::Data<Shared>) -> HttpResponse {
+    HttpResponse::Ok().json(&shared.lock().faults)
+}
+
+async fn set_faults(shared: web::Data<Shared>, body: Bytes) -> HttpResponse {
+    match serde_json::from_slice::<PlatformFaults>(&body) {
+        Ok(faults) => {
+            shared.set_faults(faults);
+            HttpResponse::Ok().json(&shared.lock().faults)
+        }
+        Err(e) => HttpResponse::BadRequest().json(json!({"error": e.to_string()})),
+    }
+}
+
+async fn counters(shared: web::Data<Shared>) -> HttpResponse {
+    HttpResponse::Ok().json(shared.lock().counters)
+}
--- /dev/null
+++ b/crates/standins/src/server.rs
@@ -0,0 +1,166 @@
+//! HTTP servers of the stand-ins. Each runs in its own thread and can drop its connections.
+
+use std::io;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::os::fd::AsFd;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::Weak;
+use std::sync::mpsc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use actix_web::App;
+use actix_web::HttpRequest;
+use actix_web::HttpServer;
+use actix_web::dev::ServerHandle;
+use actix_web::web::ServiceConfig;
+
+/// Seconds a graceful stop waits for requests in flight.
+const SHUTDOWN_TIMEOUT_S: u64 = 30;
+
+/// An idle connection is kept this long; clients pool connections across pauses of a test.
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+
+/// Locks a mutex; a panic in another holder does not hide the data from later checks.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Second handle to the socket of a connection.
+#[derive(Clone, Debug)]
+struct Conn(Arc<TcpStream>);
+
+/// Drops the connection of `req`, so that its response never leaves the server.
+pub(crate) fn cut(req: &HttpRequest) {
+    if let Some(conn) = req.conn_data::<Conn>() {
+        // The peer may have closed the socket already.
+        let _ = conn.0.shutdown(Shutdown::Both);
+    }
+}
+
+/// The open connections of a server.
+#[derive(Clone, Debug, Default)]
+struct Connections(Arc<Mutex<Vec<Weak<TcpStream>>>>);
+
+impl Connections {
+    fn add(&self, conn: &Conn) {
+        let mut all = lock(&self.0);
+        all.retain(|other| other.strong_count() > 0);
+        all.push(Arc::downgrade(&conn.0));
+    }
+
+    fn cut_all(&self) {
+        for conn in lock(&self.0).drain(..).filter_map(|conn| conn.upgrade()) {
+            let _ = conn.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// A running server.
+pub(crate) struct HttpThread {
+    addr: SocketAddr,
+    handle: ServerHandle,
+    connections: Connections,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl HttpThread {
+    /// Serves `routes` on `listener`, with at most `max_connections` connections at a time.
+    pub(crate) fn start<F>(
+        listener: TcpListener,
+        max_connections: usize,
+        routes: F,
+    ) -> io::Result<Self>
+    where
+        F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
+    {
+        let addr = listener.local_addr()?;
+        let connections = Connections::default();
+        let accepted = connections.clone();
+        let (tx, rx) = mpsc::channel();
+        let thread =
+            std::thread::Builder::new().name(format!("http-{}", addr.port())).spawn(move || {
+                actix_rt::System::new().block_on(async move {
+                    let server = HttpServer::new(move || App::new().configure(routes.clone()))
+                        .workers(1)
+                        .max_connections(max_connections)
+                        .keep_alive(KEEP_ALIVE)
+                        .shutdown_timeout(SHUTDOWN_TIMEOUT_S)
+                        .disable_signals()
+                        // A caller that goes away cancels its request.
+                        .h1_allow_half_closed(false)
+                        .on_connect(move |io, data| {
+                            let Some(io) = io.downcast_ref::<tokio::net::TcpStream>() else {
+                                return;
+                            };
+                            let _ = io.set_nodelay(true);
+                            if let Ok(fd) = io.as_fd().try_clone_to_owned() {
+                                let conn = Conn(Arc::new(TcpStream::from(fd)));
+                                accepted.add(&conn);
+                                data.insert(conn);
+                            }
+                        })
+                        .listen(listener);
+                    match server {
+                        Ok(server) => {
+                            let server = server.run();
+                            let _ = tx.send(Ok(server.handle()));
+                            let _ = server.await;
+                        }
+                        Err(e) => {
+                            let _ = tx.send(Err(e));
+                        }
+                    }
+                });
+            })?;
+        let handle =
+            rx.recv().map_err(|_| io::Error::other("the server thread ended at start"))??;
+        Ok(Self { addr, handle, connections, thread: Some(thread) })
+    }
+
+    /// The address it listens on.
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Drops every open connection; new ones are accepted.
+    pub(crate) fn cut_all(&self) {
+        self.connections.cut_all();
+    }
+
+    /// Stops and waits until the thread has ended. A graceful stop lets requests in flight end.
+    pub(crate) fn stop(&mut self, graceful: bool) {
+        let Some(thread) = self.thread.take() else { return };
+        drop(self.handle.stop(graceful));
+        if !graceful {
+            self.cut_all();
+        }
+        let _ = thread.join();
+    }
+}
+
+impl Drop for HttpThread {
+    fn drop(&mut self) {
+        self.stop(false);
+    }
+}
+
+/// Binds `addr`, retrying for a short time while the kernel still releases the port.
+pub(crate) fn bind_again(addr: SocketAddr) -> io::Result<TcpListener> {
+    let mut tries = 0;
+    loop {
+        match TcpListener::bind(addr) {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && tries < 100 => {
+                tries += 1;
+                std::thread::sleep(Duration::from_millis(10));
+            }
+            result => return result,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/http_client.rs
@@ -0,0 +1,23 @@
+//! The HTTP client of the tests does not take half an answer for a whole one.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+
+use standins::http;
+
+/// Guards against a short answer that passes as whole because its connection closed.
+#[test]
+fn short_answers_fail() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let server = std::thread::spawn(move || {
+        let (mut io, _) = listener.accept().expect("a connection");
+        let mut buf = [0; 4096];
+        let _ = io.read(&mut buf);
+        io.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nshort").expect("written");
+    });
+    let answer = http::get(format!("http://{addr}/"));
+    assert!(answer.is_err(), "{answer:?}");
+    server.join().expect("the server ends");
+}
--- /dev/null
+++ b/crates/standins/tests/platform_faults.rs
@@ -0,0 +1,256 @@
+//! The platform stand-in keeps the promises that the tests of the system build on.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use standins::http;
+use standins::http::Request;
+use standins::platform::PlatformStandin;
+use standins::platform::faults::LostBy;
+use standins::platform::faults::Outage;
+use standins::platform::faults::PlatformFaults;
+use standins::wait;
+
+const BOUND: Duration = Duration::from_secs(10);
+
+fn start() -> PlatformStandin {
+    PlatformStandin::start(([127, 0, 0, 1], 0).into()).expect("a free port")
+}
+
+fn url(platform: &PlatformStandin, path: &str) -> String {
+    format!("http://{}{path}", platform.addr())
+}
+
+fn transact(platform: &PlatformStandin, body: &Value) -> http::Response {
+    http::post(url(platform, "/table/transact"), body).expect("an answer")
+}
+
+/// Guards against a transaction that writes some rows although one of its conditions fails.
+#[test]
+fn transactions_are_atomic() {
+    let platform = start();
+    let first = transact(
+        &platform,
+        &json!({"conditions": [{"key": "a", "revision": null}],
+                "puts": [{"key": "a", "value": 1}, {"key": "b", "value": 2}]}),
+    );
+    assert_eq!(first.status, 200);
+    assert_eq!(first.json()["committed"], true);
+    let revision = first.json()["revisions"]["a"].as_u64().expect("a revision");
+
+    let second = transact(
+        &platform,
+        &json!({"conditions": [{"key": "a", "revision": revision}, {"key": "b", "revision": null}],
+                "puts": [{"key": "a", "value": 9}, {"key": "c", "value": 9}],
+                "deletes": ["b"]}),
+    );
+    assert_eq!(second.status, 409);
+    let conflicts = second.json()["conflicts"].clone();
+    assert_eq!(conflicts, json!([{"key": "b", "revision": revision, "value": 2}]));
+    assert_eq!(platform.row("a").map(|row| row.value), Some(json!(1)));
+    assert_eq!(platform.row("b").map(|row| row.value), Some(json!(2)));
+    assert_eq!(platform.row("c"), None);
+
+    let third = transact(
+        &platform,
+        &json!({"conditions": [{"key": "a", "revision": revision}],
+                "puts": [{"key": "a", "value": 3}], "deletes": ["b"]}),
+    );
+    assert!(third.json()["revisions"]["a"].as_u64() > Some(revision));
+    assert_eq!(platform.row("b"), None);
+}
+
+/// Guards against two concurrent conditional inserts of the same row that both commit.
+#[test]
+fn one_insert_wins() {
+    let platform = start();
+    for round in 0..20 {
+        let key = format!("claim/{round}");
+        let wins = std::thread::scope(|scope| {
+            let racers: Vec<_> = (0..8)
+                .map(|racer| {
+                    let body = json!({"conditions": [{"key": key, "revision": null}],
+                                      "puts": [{"key": key, "value": racer}]});
+                    let platform = &platform;
+                    scope.spawn(move || transact(platform, &body).status)
+                })
+                .collect();
+            racers.into_iter().filter_map(|racer| racer.join().ok()).filter(|s| *s == 200).count()
+        });
+        assert_eq!(wins, 1, "round {round}");
+    }
+}
+
+/// Guards against scans that skip or repeat rows between pages, or leave the prefix.
+#[test]
+fn scans_page_in_order() {
+    let platform = start();
+    let puts: Vec<_> =
+        (0..25).map(|n| json!({"key": format!("node/{n:02}"), "value": n})).collect();
+    transact(&platform, &json!({"puts": puts}));
+    transact(
+        &platform,
+        &json!({"puts": [{"key": "nodf", "value": 0}, {"key": "node", "value": 0}]}),
+    );
+    let mut after = String::new();
+    let mut seen = Vec::new();
+    loop {
+        let path = format!("/table/scan?prefix=node/&after={after}&limit=10");
+        let page = http::get(url(&platform, &path)).expect("a page").json();
+        let rows = page["rows"].as_array().cloned().unwrap_or_default();
+        let Some(last) = rows.last() else { break };
+        after = last["key"].as_str().unwrap_or_default().to_string();
+        seen.extend(rows.iter().map(|row| row["value"].as_u64()));
+    }
+    assert_eq!(seen, (0..25).map(Some).collect::<Vec<_>>());
+}
+
+/// Guards against an object that other bytes overwrite.
+#[test]
+fn objects_are_immutable() {
+    let platform = start();
+    let put = |bytes: &'static str| {
+        Request::new("PUT", url(&platform, "/objects/catalogue/ab")).body(bytes).send()
+    };
+    assert_eq!(put("one").expect("an answer").status, 201);
+    assert_eq!(put("one").expect("an answer").status, 200);
+    assert_eq!(put("two").expect("an answer").status, 409);
+    let object = http::get(url(&platform, "/objects/catalogue/ab")).expect("an answer");
+    assert_eq!(object.body, "one");
+    let deleted = Request::new("DELETE", url(&platform, "/objects/catalogue/ab")).send();
+    assert_eq!(deleted.expect("an answer").status, 204);
+    assert_eq!(http::get(url(&platform, "/objects/catalogue/ab")).expect("an answer").status, 404);
+}
+
+/// Guards against a lost answer whose write did not take effect, and against losing more answers
+/// than asked for.
+#[test]
+fn lost_answers_took_effect() {
+    let platform = start();
+    for (key, lose_by) in [("closed", LostBy::Close), ("silent", LostBy::Silence)] {
+        platform.set_faults(PlatformFaults { lose_next: 1, lose_by, ..Default::default() });
+        let body = json!({"conditions": [{"key": key, "revision": null}],
+                          "puts": [{"key": key, "value": "mine"}]});
+        let lost = Request::new("POST", url(&platform, "/table/transact"))
+            .json(&body)
+            .timeout(Duration::from_millis(500))
+            .send();
+        assert!(lost.is_err(), "{key}: {lost:?}");
+        assert_eq!(platform.row(key).map(|row| row.value), Some(json!("mine")));
+        assert_eq!(transact(&platform, &body).status, 409, "{key}");
+    }
+    assert_eq!(platform.counters().lost, 2);
+}
+
+/// Guards against a share of lost answers that differs between runs with one seed.
+#[test]
+fn lost_share_is_seeded() {
+    let lost = |seed| {
+        let platform = start();
+        platform.set_faults(PlatformFaults { lose_share: 0.3, seed, ..Default::default() });
+        (0..40)
+            .map(|n| {
+                let body = json!({"puts": [{"key": n.to_string(), "value": n}]});
+                http::post(url(&platform, "/table/transact"), &body).is_err()
+            })
+            .collect::<Vec<_>>()
+    };
+    let first = lost(7);
+    let count = first.iter().filter(|lost| **lost).count();
+    assert!((4..=22).contains(&count), "{count} of 40 lost, seed 7");
+    assert_eq!(first, lost(7), "seed 7");
+}
+
+/// Guards against more accepted requests within a second than the ceilings allow.
+#[test]
+fn ceilings_hold() {
+    let platform = start();
+    platform.set_faults(PlatformFaults {
+        read_ceiling: Some(30),
+        write_ceiling: Some(10),
+        ..Default::default()
+    });
+    let start = Instant::now();
+    let mut reads = 0;
+    let mut writes = 0;
+    let mut refused = 0;
+    for _ in 0..60 {
+        match http::get(url(&platform, "/table/row?key=none")).expect("an answer").status {
+            404 => reads += 1,
+            429 => refused += 1,
+            other => panic!("status {other}"),
+        }
+        match transact(&platform, &json!({"puts": [{"key": "k", "value": 1}]})).status {
+            200 => writes += 1,
+            429 => refused += 1,
+            other => panic!("status {other}"),
+        }
+    }
+    // A run of n whole seconds touches at most n + 1 windows.
+    let windows = start.elapsed().as_secs() + 1;
+    assert!(reads <= 30 * windows, "{reads} reads in {windows} windows");
+    assert!(writes <= 10 * windows, "{writes} writes in {windows} windows");
+    assert!(reads >= 30 && writes >= 10, "{reads} reads, {writes} writes");
+    let counters = platform.counters();
+    assert_eq!((counters.reads, counters.writes), (reads, writes));
+    assert_eq!(counters.refused, refused);
+}
+
+/// Guards against an outage with side effects, and against rows lost by an outage.
+#[test]
+fn outages_keep_state() {
+    let platform = start();
+    transact(&platform, &json!({"puts": [{"key": "kept", "value": 1}]}));
+    for outage in [Outage::Unavailable, Outage::Refused, Outage::Hanging] {
+        platform.set_faults(PlatformFaults { outage, ..Default::default() });
+        let write = || {
+            Request::new("POST", url(&platform, "/table/transact"))
+                .json(&json!({"puts": [{"key": "lost", "value": 1}]}))
+                .timeout(Duration::from_millis(300))
+                .send()
+        };
+        // The port of a refused outage closes a moment after the fault is set.
+        wait::until_true("the outage", BOUND, || match write() {
+            Ok(response) => outage == Outage::Unavailable && response.status == 503,
+            Err(_) => outage != Outage::Unavailable,
+        })
+        .expect("the outage");
+        assert_eq!(platform.row("lost"), None, "{outage:?}");
+        platform.set_faults(PlatformFaults::default());
+        let row = wait::until("the end of the outage", BOUND, || {
+            http::get(url(&platform, "/table/row?key=kept")).ok()
+        });
+        assert_eq!(row.expect("an answer").json()["value"], 1, "{outage:?}");
+    }
+}
+
+/// Guards against an outage with a length that does not end by itself.
+#[test]
+fn outages_end() {
+    let platform = start();
+    let faults = json!({"outage": "refused", "outage_ms": 200});
+    assert_eq!(
+        http::post(url(&platform, "/standin/faults"), &faults).expect("an answer").status,
+        200
+    );
+    wait::until("an answer", BOUND, || {
+        http::get(url(&platform, "/table/row?key=k"))
+            .ok()
+            .filter(|_| platform.faults().outage == Outage::None)
+    })
+    .expect("the end of the outage");
+    let counters = http::get(url(&platform, "/standin/counters")).expect("an answer").json();
+    assert!(counters["reads"].as_u64() >= Some(1), "{counters}");
+}
+
+/// Guards against a latency range that is not kept.
+#[test]
+fn latency_is_added() {
+    let platform = start();
+    platform.set_faults(PlatformFaults { latency_ms: (80, 120), ..Default::default() });
+    let start = Instant::now();
+    http::get(url(&platform, "/table/row?key=k")).expect("an answer");
+    assert!(start.elapsed() >= Duration::from_millis(80), "{:?}", start.elapsed());
+}
--- /dev/null
+++ b/crates/standins/tests/target_records.rs
@@ -0,0 +1,368 @@
+//! The target stand-in runs, sheds, fails and records calls as told.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_web::HttpResponse;
+use actix_web::dev::ServerHandle;
+use actix_web::web;
+use serde_json::Value;
+use serde_json::json;
+use standins::body;
+use standins::body::Checksum;
+use standins::body::Defect;
+use standins::body::Sent;
+use standins::http;
+use standins::http::Request;
+use standins::target::TargetOptions;
+use standins::target::TargetStandin;
+use standins::target::faults::ColdStart;
+use standins::target::faults::HealthHint;
+use standins::target::faults::TargetFaults;
+use standins::target::faults::Trigger;
+use standins::target::record::End;
+use standins::wait;
+
+const BOUND: Duration = Duration::from_secs(10);
+
+fn start(options: TargetOptions) -> TargetStandin {
+    TargetStandin::start(options).expect("a free port")
+}
+
+fn url(target: &TargetStandin, path: &str) -> String {
+    format!("http://{}{path}", target.addr())
+}
+
+fn call(target: &TargetStandin, name: &str, path: &str) -> Request {
+    Request::new("GET", url(target, path))
+        .header("x-standin-call", name)
+        .header("x-request-id", format!("r-{name}"))
+}
+
+/// Guards against calls that run beyond the slots, and against a shed call that ran.
+#[test]
+fn slots_are_exact() {
+    let target =
+        start(TargetOptions { slots: 3, service_ms: (300, 300), ..TargetOptions::default() });
+    let statuses: Vec<_> = std::thread::scope(|scope| {
+        let calls: Vec<_> = (0..10)
+            .map(|n| call(&target, &format!("c{n}"), "/counter/sheets"))
+            .map(|request| scope.spawn(move || request.send().map_or(0, |r| r.status)))
+            .collect();
+        calls.into_iter().map(|call| call.join().unwrap_or(0)).collect()
+    });
+    assert_eq!(statuses.iter().filter(|s| **s == 200).count(), 3, "{statuses:?}");
+    assert_eq!(statuses.iter().filter(|s| **s == 503).count(), 7, "{statuses:?}");
+    let counters = target.counters();
+    assert_eq!((counters.ran, counters.shed, counters.peak_in_flight), (3, 7, 3));
+    assert_eq!(target.records().len(), 3);
+    assert_eq!(target.in_flight(), 0);
+}
+
+/// Guards against records that miss what later checks compare.
+#[test]
+fn records_are_whole() {
+    let target = start(TargetOptions::default());
+    let sent_body = vec![7_u8; 100_000];
+    let response = Request::new("POST", url(&target, "/counter/orders?desk=4"))
+        .header("x-standin-call", "one")
+        .header("x-request-id", "r-1")
+        .header("idempotency-key", "order-1")
+        .header("x-ibis-deadline-ms", "2000")
+        .body(sent_body.clone())
+        .send()
+        .expect("an answer");
+    let sent = Sent {
+        call: "one",
+        key: Some("order-1"),
+        path: "/counter/orders?desk=4",
+        body_bytes: 100_000,
+        body_checksum: Checksum::of(&sent_body),
+    };
+    let head = body::check(&sent, &response.body).expect("a whole answer");
+    assert_eq!((head.version.as_str(), head.instance.as_str()), ("v1", "counter-1"));
+    let records = target.records();
+    assert_eq!(records.len(), 1);
+    let record = &records[0];
+    assert_eq!(record.key.as_deref(), Some("order-1"));
+    assert_eq!(record.path, "/counter/orders?desk=4");
+    assert_eq!((record.body_bytes, record.body_whole), (100_000, true));
+    assert_eq!(record.body_checksum, Checksum::of(&sent_body));
+    assert_eq!(record.deadline_ms, Some(2000));
+    assert_eq!(record.end, End::Answered(200));
+    assert!(record.started_unix_ms <= record.ended_unix_ms);
+}
+
+/// Guards against a check that accepts a short, damaged or foreign answer.
+#[test]
+fn defects_are_found() {
+    let target =
+        start(TargetOptions { response_bytes: 200_000, stream: true, ..Default::default() });
+    let whole = call(&target, "own", "/counter/sheets").send().expect("an answer").body;
+    let sent = Sent {
+        call: "own",
+        key: None,
+        path: "/counter/sheets",
+        body_bytes: 0,
+        body_checksum: Checksum::default().value(),
+    };
+    assert!(body::check(&sent, &whole).is_ok());
+    assert_eq!(body::check(&sent, &whole[..whole.len() - 1]), Err(Defect::Short));
+    assert_eq!(body::check(&sent, b""), Err(Defect::Short));
+    let mut long = whole.to_vec();
+    long.push(0);
+    assert_eq!(body::check(&sent, &long), Err(Defect::Long));
+    let mut damaged = whole.to_vec();
+    if let Some(byte) = damaged.last_mut() {
+        *byte ^= 1;
+    }
+    assert_eq!(body::check(&sent, &damaged), Err(Defect::Damaged));
+    assert_eq!(body::check(&Sent { call: "other", ..sent.clone() }, &whole), Err(Defect::Foreign));
+    let other_body = Sent { body_bytes: 1, ..sent };
+    assert_eq!(body::check(&other_body, &whole), Err(Defect::RequestDamaged));
+}
+
+/// Guards against a call that goes on, or is not marked, after its caller went away.
+#[test]
+fn cancelled_calls_are_marked() {
+    let target = start(TargetOptions { service_ms: (5000, 5000), ..Default::default() });
+    let gone = call(&target, "gone", "/counter/sheets").timeout(Duration::from_millis(200)).send();
+    assert!(gone.is_err());
+    wait::until_true("the cancelled record", Duration::from_secs(3), || {
+        target.records().first().is_some_and(|record| record.cancelled())
+    })
+    .expect("a cancelled record");
+    assert_eq!(target.in_flight(), 0);
+}
+
+/// Guards against work beyond the deadline that the request carries.
+#[test]
+fn deadlines_are_honoured() {
+    let target = start(TargetOptions { service_ms: (5000, 5000), ..Default::default() });
+    let start = Instant::now();
+    let late = call(&target, "late", "/counter/sheets").header("x-ibis-deadline-ms", "150").send();
+    assert_eq!(late.expect("an answer").status, 504);
+    assert!(start.elapsed() < Duration::from_secs(3));
+    assert_eq!(target.records()[0].end, End::DeadlinePassed);
+    let spent = call(&target, "spent", "/counter/sheets").header("x-ibis-deadline-ms", "0").send();
+    assert_eq!(spent.expect("an answer").status, 504);
+    assert_eq!(target.records().len(), 1);
+}
+
+/// Guards against faults that hit calls outside their trigger, or miss calls inside it.
+#[test]
+fn faults_follow_triggers() {
+    let target = start(TargetOptions { service_ms: (0, 0), ..Default::default() });
+    let status = |path: &str| call(&target, "c", path).send().map_or(0, |r| r.status);
+    let failing = |trigger| TargetFaults { failing_share: 1.0, trigger, ..Default::default() };
+
+    let prefix = Some("/counter/orders".to_string());
+    target.set_faults(failing(Trigger { path_prefix: prefix, ..Default::default() }));
+    assert_eq!(status("/counter/orders/4"), 500);
+    assert_eq!(status("/counter/sheets"), 200);
+
+    target.set_faults(failing(Trigger { above_in_flight: Some(1), ..Default::default() }));
+    assert_eq!(status("/counter/sheets"), 200);
+
+    target.set_faults(failing(Trigger { after_ms: 300, ..Default::default() }));
+    let set = Instant::now();
+    let before = status("/counter/sheets");
+    assert!(before == 200 || set.elapsed() >= Duration::from_millis(300));
+    wait::until_true("the failure", BOUND, || status("/counter/sheets") == 500).expect("a failure");
+    assert!(set.elapsed() >= Duration::from_millis(300));
+}
+
+/// Guards against a load trigger that does not count the calls in flight.
+#[test]
+fn faults_follow_load() {
+    let target = start(TargetOptions { service_ms: (200, 200), ..Default::default() });
+    target.set_faults(TargetFaults {
+        failing_share: 1.0,
+        trigger: Trigger { above_in_flight: Some(2), ..Default::default() },
+        ..Default::default()
+    });
+    let statuses: Vec<_> = std::thread::scope(|scope| {
+        let calls: Vec<_> = (0..6)
+            .map(|n| call(&target, &format!("c{n}"), "/counter/sheets"))
+            .map(|request| scope.spawn(move || request.send().map_or(0, |r| r.status)))
+            .collect();
+        calls.into_iter().map(|call| call.join().unwrap_or(0)).collect()
+    });
+    assert_eq!(statuses.iter().filter(|s| **s == 200).count(), 2, "{statuses:?}");
+    assert_eq!(statuses.iter().filter(|s| **s == 500).count(), 4, "{statuses:?}");
+}
+
+/// Guards against a broken answer that a client takes for a whole one.
+#[test]
+fn broken_answers_fail() {
+    let target = start(TargetOptions { response_bytes: 300_000, ..Default::default() });
+    target.set_faults(TargetFaults { cut_middle_share: 1.0, ..Default::default() });
+    let mut io = std::net::TcpStream::connect(target.addr()).expect("a connection");
+    io.set_read_timeout(Some(BOUND)).expect("a timeout");
+    io.write_all(b"GET /counter/sheets HTTP/1.1\r\nhost: t\r\nx-standin-call: middle\r\n\r\n")
+        .expect("a request");
+    let mut received = Vec::new();
+    // A reset after the last bytes is as good a break as a closed connection.
+    let _ = io.read_to_end(&mut received);
+    assert!(received.starts_with(b"HTTP/1.1 200 OK"), "{} bytes", received.len());
+    assert!(received.len() < 300_000, "{} bytes", received.len());
+    assert!(!received.ends_with(b"0\r\n\r\n"), "the answer has its last chunk");
+
+    target.set_faults(TargetFaults { cut_share: 1.0, ..Default::default() });
+    assert!(call(&target, "cut", "/counter/sheets").send().is_err());
+    let ends: Vec<_> = target.records().iter().map(|record| record.end).collect();
+    assert_eq!(ends, [End::Cut, End::Cut]);
+}
+
+/// Guards against a cold start that never ends.
+#[test]
+fn cold_starts_end() {
+    let cold_start = ColdStart { for_ms: 500, slow_ms: 0, failing: true };
+    let target = start(TargetOptions { cold_start, ..Default::default() });
+    let health = || http::get(url(&target, "/health")).map_or(0, |r| r.status);
+    assert_eq!(health(), 503);
+    assert_eq!(call(&target, "cold", "/counter/sheets").send().expect("an answer").status, 500);
+    wait::until_true("good health", BOUND, || health() == 200).expect("good health");
+    assert_eq!(call(&target, "warm", "/counter/sheets").send().expect("an answer").status, 200);
+}
+
+/// Guards against hints that tell the truth when they are to mislead.
+#[test]
+fn hints_mislead() {
+    let target = start(TargetOptions { service_ms: (800, 800), ..Default::default() });
+    let load = || http::get(url(&target, "/load")).expect("an answer").json()["in_flight"].as_u64();
+    std::thread::scope(|scope| {
+        let request = call(&target, "slow", "/counter/sheets");
+        scope.spawn(move || request.send());
+        wait::until_true("the call", BOUND, || target.in_flight() == 1).expect("the call");
+        assert_eq!(load(), Some(1));
+        target.set_faults(TargetFaults { hint_lag_ms: 60_000, ..Default::default() });
+        assert_eq!(load(), Some(0));
+        target.set_faults(TargetFaults { load_in_flight: Some(9), ..Default::default() });
+        assert_eq!(load(), Some(9));
+    });
+    target.set_faults(TargetFaults { health: HealthHint::AlwaysBad, ..Default::default() });
+    assert_eq!(http::get(url(&target, "/health")).expect("an answer").status, 503);
+}
+
+/// Guards against a target that keeps serving after a kill, or that hangs its caller then.
+#[test]
+fn kill_drops_connections() {
+    let target = start(TargetOptions { service_ms: (20_000, 20_000), ..Default::default() });
+    let addr = target.addr();
+    let request = call(&target, "killed", "/counter/sheets").timeout(Duration::from_secs(15));
+    let caller = std::thread::spawn(move || request.send());
+    wait::until_true("the call", BOUND, || target.in_flight() == 1).expect("the call");
+    let start = Instant::now();
+    let records = target.kill();
+    assert_eq!(records.len(), 1);
+    assert!(caller.join().expect("the caller").is_err());
+    assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
+    assert!(std::net::TcpStream::connect(addr).is_err());
+}
+
+/// A node as far as the target sees it.
+#[derive(Default)]
+struct FakeNode {
+    announced: Vec<Value>,
+    leaves: u32,
+}
+
+type SharedNode = web::Data<Arc<Mutex<FakeNode>>>;
+
+async fn announce(node: SharedNode, body: web::Json<Value>) -> HttpResponse {
+    node.lock().expect("the node").announced.push(body.into_inner());
+    HttpResponse::Ok().json(json!({"lease_ms": 150}))
+}
+
+async fn leave(node: SharedNode) -> HttpResponse {
+    let mut node = node.lock().expect("the node");
+    node.leaves += 1;
+    if node.leaves < 3 { HttpResponse::Accepted().finish() } else { HttpResponse::Ok().finish() }
+}
+
+/// Serves the node's interface for targets in a thread of its own.
+fn serve(node: Arc<Mutex<FakeNode>>) -> (SocketAddr, ServerHandle) {
+    let (tx, rx) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        actix_rt::System::new().block_on(async move {
+            let server = actix_web::HttpServer::new(move || {
+                actix_web::App::new()
+                    .app_data(web::Data::new(node.clone()))
+                    .route("/targets/announce", web::post().to(announce))
+                    .route("/targets/leave", web::post().to(leave))
+            })
+            .workers(1)
+            .disable_signals()
+            .bind("127.0.0.1:0")
+            .expect("a free port");
+            let addr = server.addrs()[0];
+            let server = server.run();
+            tx.send((addr, server.handle())).expect("the test waits");
+            server.await.expect("the server ends well");
+        });
+    });
+    rx.recv_timeout(BOUND).expect("the server starts")
+}
+
+/// Guards against a target that lets its lease expire, announces other fields than the protocol
+/// names, or announces itself again after it left.
+#[test]
+fn announcements_keep_the_lease() {
+    let node = Arc::new(Mutex::new(FakeNode::default()));
+    let (addr, handle) = serve(node.clone());
+
+    let target = start(TargetOptions { node: Some(addr), ..Default::default() });
+    let started = Instant::now();
+    let announced = || node.lock().expect("the node").announced.len();
+    wait::until_true("five announcements", BOUND, || announced() >= 5).expect("announcements");
+    assert!(started.elapsed() < Duration::from_millis(5 * 150), "{:?}", started.elapsed());
+    let first = node.lock().expect("the node").announced[0].clone();
+    assert_eq!(
+        first,
+        json!({"service": "counter", "version": "v1", "instance": "counter-1",
+               "address": target.addr().to_string(), "slots": 10, "connections": 120})
+    );
+    assert!(target.leave(BOUND));
+    assert!(target.left_unix_ms().is_some());
+    assert_eq!(node.lock().expect("the node").leaves, 3);
+    let after_leave = announced();
+    call(&target, "after", "/counter/sheets").send().expect("an answer");
+    assert!(target.records()[0].after_leave);
+    // Longer than the lease, so a further announcement would have come.
+    let since = Instant::now();
+    wait::until_true("a lease", BOUND, || since.elapsed() > Duration::from_millis(300))
+        .expect("a lease");
+    assert_eq!(announced(), after_leave);
+    drop(handle.stop(false));
+}
+
+/// Guards against a chain that ends early or loses the headers that travel with a call.
+#[test]
+fn chains_reach_their_depth() {
+    let last = start(TargetOptions { service: "plateroom".into(), ..Default::default() });
+    let first = start(TargetOptions {
+        chain_node: Some(last.addr()),
+        chain_path: "/plates".to_string(),
+        ..Default::default()
+    });
+    let request = call(&first, "chained", "/counter/sheets")
+        .header("x-standin-chain", "1")
+        .header("x-ibis-depth", "4")
+        .header("x-ibis-deadline-ms", "3000");
+    assert_eq!(request.send().expect("an answer").status, 200);
+    let records = last.records();
+    assert_eq!(records.len(), 1);
+    assert_eq!((records[0].call.as_str(), records[0].path.as_str()), ("chained", "/plates"));
+    assert_eq!(records[0].request_id, "r-chained");
+    assert!(records[0].deadline_ms.is_some_and(|ms| ms <= 3000));
+
+    last.set_faults(TargetFaults { failing_share: 1.0, ..Default::default() });
+    let failed = call(&first, "failed", "/counter/sheets").header("x-standin-chain", "1").send();
+    assert_eq!(failed.expect("an answer").status, 502);
+}
