Store accepted versions with compare-and-swap

Cause: operators change the catalogue at the same time, and answers of the platform can be lost after a write has taken effect. Change: Store puts the body under its digest, then writes head and history row in one transaction conditional on the head's revision. A lost answer is resolved by the token in the head row, or in the history row when the head has moved on; the history row therefore carries the token too.

--- a/crates/ibisroute/src/catalogue/mod.rs
+++ b/crates/ibisroute/src/catalogue/mod.rs
@@ -8,6 +8,8 @@
 pub mod model;
 mod parse;
 mod reader;
+pub mod store;
+pub mod store_settings;
 
 use std::sync::Arc;
 
--- /dev/null
+++ b/crates/ibisroute/tests/catalogue_store.rs
@@ -0,0 +1,198 @@
+//! Applying versions through the platform: racing operators, lost answers, outages.
+
+#[path = "common/fake_platform.rs"]
+mod fake_platform;
+
+use std::rc::Rc;
+
+use fake_platform::FakePlatform;
+use fake_platform::Fault;
+use ibisroute::catalogue;
+use ibisroute::catalogue::model::Catalogue;
+use ibisroute::catalogue::store::ApplyOutcome;
+use ibisroute::catalogue::store::Store;
+use ibisroute::catalogue::store_settings::StoreSettings;
+use ibisroute::types::ConfigVersion;
+
+const NONE: ConfigVersion = ConfigVersion(0);
+const FIRST: ConfigVersion = ConfigVersion(1);
+
+fn sample(name: &str) -> Catalogue {
+    let text = format!(
+        r#"{{"format":1,"name":"{name}","entries":[],
+        "services":[{{"name":"counter","owner":"o","version":"v1"}}]}}"#
+    );
+    catalogue::parse(text.as_bytes()).expect("valid")
+}
+
+fn store(platform: &FakePlatform, seed: u64) -> Store {
+    let cfg = StoreSettings { retry_for_ms: 300, first_pause_ms: 1, max_pause_ms: 10 };
+    Store::new(Rc::new(platform.clone()), cfg, seed)
+}
+
+fn accepted(outcome: ApplyOutcome) -> ConfigVersion {
+    match outcome {
+        ApplyOutcome::Accepted(row) => row.version,
+        other => panic!("not accepted: {other:?}"),
+    }
+}
+
+/// Commits a version as another operator, for use between two requests of the one under test.
+fn other_operator(platform: &FakePlatform, version: u64, name: &str) -> Box<dyn FnOnce()> {
+    let (platform, body) = (platform.clone(), catalogue::canonical_bytes(&sample(name)));
+    Box::new(move || platform.force_version(version, &body, "other"))
+}
+
+/// Guards against a head that names a body or history row that does not exist.
+#[actix_rt::test]
+async fn accepted_version_is_complete() {
+    let platform = FakePlatform::default();
+    let store = store(&platform, 1);
+    assert_eq!(accepted(store.apply(&sample("a"), NONE, "ana", "first").await), FIRST);
+    assert_eq!(accepted(store.apply(&sample("b"), FIRST, "ana", "second").await).0, 2);
+    let head = store.head().await.expect("readable").expect("present");
+    assert_eq!(store.body(head.row.digest).await.expect("readable"), sample("b"));
+    let history = store.history().await.expect("readable");
+    let notes: Vec<&str> = history.iter().map(|row| row.note.as_str()).collect();
+    assert_eq!(notes, ["first", "second"]);
+    assert_eq!(platform.keys(), ["head", "history/000000000001", "history/000000000002"]);
+    assert_eq!(platform.objects().len(), 2);
+}
+
+/// Guards against an operator who silently overwrites another's change (P10).
+#[actix_rt::test]
+async fn racing_operators_lose_nothing() {
+    for seed in 0..50 {
+        let platform = FakePlatform::default();
+        let (a, b) = (store(&platform, 2 * seed), store(&platform, 2 * seed + 1));
+        let (file_a, file_b) = (sample("a"), sample("b"));
+        let (first, second) = futures_util::future::join(
+            a.apply(&file_a, NONE, "ana", ""),
+            b.apply(&file_b, NONE, "ben", ""),
+        )
+        .await;
+        let (loser, winner) = match (&first, &second) {
+            (ApplyOutcome::Accepted(_), loser) => (loser, "ana"),
+            (loser, ApplyOutcome::Accepted(_)) => (loser, "ben"),
+            both => panic!("seed {seed}: nobody won: {both:?}"),
+        };
+        let ApplyOutcome::Conflict { theirs: Some(theirs), difference: Some(changes) } = loser
+        else {
+            panic!("seed {seed}: the loser was not told: {loser:?}");
+        };
+        assert_eq!((theirs.author.as_str(), theirs.version), (winner, FIRST), "seed {seed}");
+        assert_eq!(changes.len(), 1, "seed {seed}: {changes:?}");
+        assert_eq!(a.history().await.expect("readable").len(), 1, "seed {seed}");
+    }
+}
+
+/// Guards against a stale base that overwrites a version the operator has not seen.
+#[actix_rt::test]
+async fn stale_base_conflicts() {
+    let platform = FakePlatform::default();
+    other_operator(&platform, 5, "theirs")();
+    let outcome = store(&platform, 1).apply(&sample("mine"), ConfigVersion(4), "ana", "").await;
+    let ApplyOutcome::Conflict { theirs: Some(theirs), difference: Some(changes) } = outcome else {
+        panic!("no conflict: {outcome:?}");
+    };
+    assert_eq!(theirs.version.0, 5);
+    let shown = "~ catalogue mine\n    name: \"theirs\" -> \"mine\"";
+    assert_eq!(changes[0].to_string(), shown);
+}
+
+/// Guards against a commit between the read of the head and the transaction.
+#[actix_rt::test]
+async fn late_commit_conflicts() {
+    let platform = FakePlatform::default();
+    platform.push_fault(Fault::Before(other_operator(&platform, 1, "theirs")));
+    let outcome = store(&platform, 1).apply(&sample("mine"), NONE, "ana", "").await;
+    assert!(matches!(outcome, ApplyOutcome::Conflict { .. }), "{outcome:?}");
+    assert_eq!(platform.keys(), ["head", "history/000000000001"]);
+}
+
+/// Guards against a lost answer that reports the operator's own write as a conflict, or that
+/// writes it a second time.
+#[actix_rt::test]
+async fn lost_answer_that_took_effect() {
+    let platform = FakePlatform::default();
+    platform.push_fault(Fault::LostAfter);
+    let store = store(&platform, 1);
+    assert_eq!(accepted(store.apply(&sample("a"), NONE, "ana", "").await), FIRST);
+    assert_eq!(platform.keys(), ["head", "history/000000000001"]);
+}
+
+/// Guards against a lost answer that is taken for a success although nothing was written.
+#[actix_rt::test]
+async fn lost_answer_without_effect() {
+    let platform = FakePlatform::default();
+    platform.push_fault(Fault::LostBefore);
+    let store = store(&platform, 1);
+    assert_eq!(accepted(store.apply(&sample("a"), NONE, "ana", "").await), FIRST);
+    assert!(store.head().await.expect("readable").is_some());
+}
+
+/// Guards against a lost answer whose head was already followed by another operator's: the write
+/// is in the history, and is no conflict.
+#[actix_rt::test]
+async fn lost_answer_then_newer_head() {
+    let platform = FakePlatform::default();
+    platform.push_fault(Fault::LostThen(other_operator(&platform, 2, "theirs")));
+    let store = store(&platform, 1);
+    assert_eq!(accepted(store.apply(&sample("a"), NONE, "ana", "").await), FIRST);
+    assert_eq!(store.head().await.expect("readable").expect("present").row.version.0, 2);
+}
+
+/// Guards against a lost answer without effect, overtaken by another operator, that counts as
+/// accepted.
+#[actix_rt::test]
+async fn lost_answer_overtaken() {
+    let platform = FakePlatform::default();
+    platform.push_fault(Fault::LostBefore);
+    platform.push_fault(Fault::Before(other_operator(&platform, 1, "theirs")));
+    let outcome = store(&platform, 1).apply(&sample("a"), NONE, "ana", "").await;
+    assert!(matches!(outcome, ApplyOutcome::Conflict { .. }), "{outcome:?}");
+}
+
+/// Guards against a certain answer while the outcome cannot be known.
+#[actix_rt::test]
+async fn unresolved_answer_is_unknown() {
+    let platform = FakePlatform::default();
+    platform.push_fault(Fault::LostAfter);
+    platform.go_down_after_transact();
+    let outcome = store(&platform, 1).apply(&sample("a"), NONE, "ana", "").await;
+    assert!(matches!(outcome, ApplyOutcome::Unknown(_)), "{outcome:?}");
+}
+
+/// Guards against a head without body when the table fails after the object was stored, and
+/// against an unknown outcome although nothing was sent.
+#[actix_rt::test]
+async fn outage_between_object_and_head() {
+    let platform = FakePlatform::default();
+    platform.go_down_after_put();
+    let store = store(&platform, 1);
+    let outcome = store.apply(&sample("a"), NONE, "ana", "").await;
+    assert!(matches!(outcome, ApplyOutcome::Unavailable(_)), "{outcome:?}");
+    assert_eq!(platform.keys(), Vec::<String>::new());
+    assert_eq!(platform.objects().len(), 1);
+    platform.set_table_down(false);
+    assert_eq!(accepted(store.apply(&sample("a"), NONE, "ana", "").await), FIRST);
+}
+
+/// Guards against a head whose body is nowhere, when the object store is down.
+#[actix_rt::test]
+async fn no_head_without_object() {
+    let platform = FakePlatform::default();
+    platform.set_objects_down(true);
+    let outcome = store(&platform, 1).apply(&sample("a"), NONE, "ana", "").await;
+    assert!(matches!(outcome, ApplyOutcome::Unavailable(_)), "{outcome:?}");
+    assert_eq!(platform.keys(), Vec::<String>::new());
+}
+
+/// Guards against giving up at the first refusal of an overloaded platform.
+#[actix_rt::test]
+async fn short_refusals_are_retried() {
+    let platform = FakePlatform::default();
+    platform.push_fault(Fault::Refused);
+    platform.push_fault(Fault::Refused);
+    assert_eq!(accepted(store(&platform, 1).apply(&sample("a"), NONE, "ana", "").await), FIRST);
+}
--- /dev/null
+++ b/crates/ibisroute/tests/common/fake_platform.rs
@@ -0,0 +1,261 @@
+//! A platform in memory: a table with conditional writes, an object store, outages and lost
+//! answers.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use ibisroute::platform::Platform;
+use ibisroute::platform::PlatformFuture;
+use ibisroute::platform::model::Conflict;
+use ibisroute::platform::model::Outcome;
+use ibisroute::platform::model::PlatformError;
+use ibisroute::platform::model::Revision;
+use ibisroute::platform::model::Row;
+use ibisroute::platform::model::Stored;
+use ibisroute::platform::model::Transaction;
+use ibisroute::types::Digest;
+use serde_json::json;
+
+/// What happens to a transaction.
+pub(crate) enum Fault {
+    /// The writes take effect, the answer is lost.
+    LostAfter,
+    /// The writes do not take effect, the answer is lost.
+    LostBefore,
+    /// The request is refused.
+    Refused,
+    /// Runs before the transaction, then it is served.
+    Before(Box<dyn FnOnce()>),
+    /// The writes take effect, then the closure runs, and the answer is lost.
+    LostThen(Box<dyn FnOnce()>),
+}
+
+#[derive(Default)]
+struct State {
+    rows: RefCell<BTreeMap<String, (serde_json::Value, u64)>>,
+    objects: RefCell<BTreeMap<String, Bytes>>,
+    last_revision: Cell<u64>,
+    faults: RefCell<VecDeque<Fault>>,
+    table_down: Cell<bool>,
+    objects_down: Cell<bool>,
+    down_after_put: Cell<bool>,
+    down_after_transact: Cell<bool>,
+}
+
+/// The fake; clones share the state.
+#[derive(Clone, Default)]
+pub(crate) struct FakePlatform(Rc<State>);
+
+fn refused<T>() -> Result<T, PlatformError> {
+    Err(PlatformError::Refused("outage".to_string()))
+}
+
+fn lost<T>() -> Result<T, PlatformError> {
+    Err(PlatformError::NoAnswer("lost".to_string()))
+}
+
+impl FakePlatform {
+    /// Adds a fault for the next transaction that has none yet.
+    pub(crate) fn push_fault(&self, fault: Fault) {
+        self.0.faults.borrow_mut().push_back(fault);
+    }
+
+    /// Refuses all table requests from now on, or serves them again.
+    pub(crate) fn set_table_down(&self, down: bool) {
+        self.0.table_down.set(down);
+    }
+
+    /// Refuses all object requests from now on, or serves them again.
+    pub(crate) fn set_objects_down(&self, down: bool) {
+        self.0.objects_down.set(down);
+    }
+
+    /// Starts a table outage after the next stored object.
+    pub(crate) fn go_down_after_put(&self) {
+        self.0.down_after_put.set(true);
+    }
+
+    /// Starts a table outage after the next transaction.
+    pub(crate) fn go_down_after_transact(&self) {
+        self.0.down_after_transact.set(true);
+    }
+
+    /// Keys of all rows.
+    pub(crate) fn keys(&self) -> Vec<String> {
+        self.0.rows.borrow().keys().cloned().collect()
+    }
+
+    /// Names of all objects.
+    pub(crate) fn objects(&self) -> Vec<String> {
+        self.0.objects.borrow().keys().cloned().collect()
+    }
+
+    /// Writes a version as another operator would, whatever the head is.
+    pub(crate) fn force_version(&self, version: u64, body: &[u8], author: &str) {
+        let digest = Digest::of(body);
+        let head = json!({"version": version, "digest": digest, "author": author,
+            "token": format!("token of {author}")});
+        let mut history = head.clone();
+        history["unix_ms"] = json!(1);
+        history["note"] = json!("");
+        let revision = self.0.last_revision.get() + 1;
+        self.0.last_revision.set(revision);
+        let mut rows = self.0.rows.borrow_mut();
+        rows.insert("head".to_string(), (head, revision));
+        rows.insert(format!("history/{version:012}"), (history, revision));
+        let body = Bytes::copy_from_slice(body);
+        self.0.objects.borrow_mut().insert(format!("catalogue/{digest}"), body);
+    }
+
+    fn commit(&self, transaction: &Transaction) -> Outcome {
+        let mut rows = self.0.rows.borrow_mut();
+        let mut conflicts = Vec::new();
+        for condition in &transaction.conditions {
+            let found = rows.get(condition.key.as_str());
+            let revision = found.map(|(_, r)| Revision(*r));
+            if revision != condition.revision {
+                let value = found.map(|(v, _)| v.clone());
+                conflicts.push(Conflict { key: condition.key.clone(), revision, value });
+            }
+        }
+        if !conflicts.is_empty() {
+            return Outcome::Conflicts(conflicts);
+        }
+        let revision = self.0.last_revision.get() + 1;
+        self.0.last_revision.set(revision);
+        for put in &transaction.puts {
+            rows.insert(put.key.to_string(), (put.value.clone(), revision));
+        }
+        for key in &transaction.deletes {
+            rows.remove(key.as_str());
+        }
+        Outcome::Committed
+    }
+
+    fn serve(&self, transaction: &Transaction) -> Result<Outcome, PlatformError> {
+        let fault = self.0.faults.borrow_mut().pop_front();
+        match fault {
+            None => Ok(self.commit(transaction)),
+            Some(Fault::Refused) => refused(),
+            Some(Fault::LostBefore) => lost(),
+            Some(Fault::LostAfter) => {
+                self.commit(transaction);
+                lost()
+            }
+            Some(Fault::Before(run)) => {
+                run();
+                Ok(self.commit(transaction))
+            }
+            Some(Fault::LostThen(run)) => {
+                self.commit(transaction);
+                run();
+                lost()
+            }
+        }
+    }
+
+    fn put(&self, name: String, bytes: Bytes) -> Result<Stored, PlatformError> {
+        if self.0.objects_down.get() {
+            return refused();
+        }
+        if self.0.down_after_put.take() {
+            self.0.table_down.set(true);
+        }
+        let mut objects = self.0.objects.borrow_mut();
+        match objects.get(&name) {
+            Some(found) if found == &bytes => Ok(Stored::Same),
+            Some(_) => Ok(Stored::Different),
+            None => {
+                objects.insert(name, bytes);
+                Ok(Stored::Created)
+            }
+        }
+    }
+}
+
+/// Answers in a later turn of the executor, as a real request does.
+fn later<T: 'static>(
+    run: impl FnOnce() -> Result<T, PlatformError> + 'static,
+) -> PlatformFuture<T> {
+    async move {
+        tokio::task::yield_now().await;
+        run()
+    }
+    .boxed_local()
+}
+
+impl Platform for FakePlatform {
+    fn get(&self, key: &str) -> PlatformFuture<Option<Row>> {
+        let (this, key) = (self.clone(), key.to_string());
+        later(move || {
+            if this.0.table_down.get() {
+                return refused();
+            }
+            let rows = this.0.rows.borrow();
+            Ok(rows.get(&key).map(|(value, revision)| Row {
+                key: key.as_str().into(),
+                value: value.clone(),
+                revision: Revision(*revision),
+            }))
+        })
+    }
+
+    fn scan(&self, prefix: &str, after: &str, limit: usize) -> PlatformFuture<Vec<Row>> {
+        let (this, prefix, after) = (self.clone(), prefix.to_string(), after.to_string());
+        later(move || {
+            if this.0.table_down.get() {
+                return refused();
+            }
+            let rows = this.0.rows.borrow();
+            let found = rows.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > after);
+            let row = |(key, (value, revision)): (&String, &(serde_json::Value, u64))| Row {
+                key: key.as_str().into(),
+                value: value.clone(),
+                revision: Revision(*revision),
+            };
+            Ok(found.take(limit).map(row).collect())
+        })
+    }
+
+    fn transact(&self, transaction: Transaction) -> PlatformFuture<Outcome> {
+        let this = self.clone();
+        later(move || {
+            if this.0.table_down.get() {
+                return refused();
+            }
+            let result = this.serve(&transaction);
+            if this.0.down_after_transact.take() {
+                this.0.table_down.set(true);
+            }
+            result
+        })
+    }
+
+    fn put_object(&self, name: &str, bytes: Bytes) -> PlatformFuture<Stored> {
+        let (this, name) = (self.clone(), name.to_string());
+        later(move || this.put(name, bytes))
+    }
+
+    fn get_object(&self, name: &str) -> PlatformFuture<Option<Bytes>> {
+        let (this, name) = (self.clone(), name.to_string());
+        later(move || {
+            if this.0.objects_down.get() {
+                return refused();
+            }
+            Ok(this.0.objects.borrow().get(&name).cloned())
+        })
+    }
+
+    fn delete_object(&self, name: &str) -> PlatformFuture<()> {
+        let (this, name) = (self.clone(), name.to_string());
+        later(move || {
+            this.0.objects.borrow_mut().remove(&name);
+            Ok(())
+        })
+    }
+}
