Test the platform client against scripted servers

Cause: which failures prove that a write had no effect was only read from awc. Change: tests with one scripted answer each, over loopback. When ConnectError::Disconnected counts as refused, broken_answers_may_have_taken_effect prints 'no answer, connection closed: Err(Refused(...))'. Conclusion: a closed connection is reported as no answer.

--- /dev/null
+++ b/crates/ibisroute/tests/platform_client.rs
@@ -0,0 +1,187 @@
+//! The HTTP client of the platform against scripted servers.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ibisroute::platform::Platform;
+use ibisroute::platform::client::HttpPlatform;
+use ibisroute::platform::model::Outcome;
+use ibisroute::platform::model::PlatformError;
+use ibisroute::platform::model::Revision;
+use ibisroute::platform::model::Stored;
+use ibisroute::platform::model::Transaction;
+use ibisroute::platform::platform_settings::PlatformSettings;
+
+/// Serves one connection with one answer and returns the request that it read.
+struct OneAnswer {
+    addr: SocketAddr,
+    server: JoinHandle<String>,
+}
+
+/// Every wait of the server is bounded, so that a failing test ends.
+const SERVER_TIMEOUT: Duration = Duration::from_secs(5);
+
+fn read_request(stream: &mut TcpStream) -> String {
+    stream.set_read_timeout(Some(SERVER_TIMEOUT)).expect("a timeout");
+    let mut request = Vec::new();
+    let mut buf = [0; 4096];
+    loop {
+        let text = String::from_utf8_lossy(&request).to_ascii_lowercase();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|l| l.strip_prefix("content-length: "));
+            if body.len() >= length.and_then(|l| l.parse().ok()).unwrap_or(0) {
+                return String::from_utf8_lossy(&request).into_owned();
+            }
+        }
+        let n = stream.read(&mut buf).expect("a request");
+        assert!(n > 0, "the client closed the connection");
+        request.extend_from_slice(&buf[..n]);
+    }
+}
+
+impl OneAnswer {
+    /// Writes `answer` after the request; keeps the connection open until the client closes it when
+    /// `hold` is set.
+    fn start(answer: String, hold: bool) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let server = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let request = read_request(&mut stream);
+            stream.write_all(answer.as_bytes()).expect("an answer");
+            if hold {
+                let _ = stream.read(&mut [0; 16]);
+            }
+            request
+        });
+        Self { addr, server }
+    }
+
+    fn status(status: &str, body: &str) -> Self {
+        let length = body.len();
+        let head = format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n");
+        Self::start(format!("{head}connection: close\r\n\r\n{body}"), false)
+    }
+
+    fn client(&self) -> HttpPlatform {
+        client(self.addr)
+    }
+
+    fn request(self) -> String {
+        self.server.join().expect("the server")
+    }
+}
+
+fn client(address: SocketAddr) -> HttpPlatform {
+    HttpPlatform::new(PlatformSettings {
+        address,
+        request_timeout_ms: 400,
+        connect_timeout_ms: 200,
+        max_rows_bytes: 1000,
+        max_object_bytes: 1000,
+        ..PlatformSettings::default()
+    })
+}
+
+/// Guards against keys that are cut or changed on their way.
+#[actix_rt::test]
+async fn row_is_read_by_exact_key() {
+    let body = r#"{"key":"claim/a b&c","value":{"x":1},"revision":7}"#;
+    let server = OneAnswer::status("200 OK", body);
+    let row = server.client().get("claim/a b&c").await.expect("an answer").expect("a row");
+    assert_eq!((row.revision, row.key.as_str()), (Revision(7), "claim/a b&c"));
+    let request = server.request();
+    let line = "GET /table/row?key=claim/a%20b%26c HTTP/1.1\r\n";
+    assert!(request.starts_with(line), "{request}");
+}
+
+/// Guards against an absent row or object that counts as a failure.
+#[actix_rt::test]
+async fn absent_is_no_failure() {
+    let server = OneAnswer::status("404 Not Found", "");
+    assert_eq!(server.client().get("head").await, Ok(None));
+    let server = OneAnswer::status("404 Not Found", "");
+    assert_eq!(server.client().get_object("catalogue/x").await, Ok(None));
+}
+
+/// Guards against a conflict that is taken for a commit.
+#[actix_rt::test]
+async fn transaction_outcomes_are_told_apart() {
+    let server = OneAnswer::status("200 OK", r#"{"committed":true,"revisions":{"a":1}}"#);
+    let outcome = server.client().transact(Transaction::default()).await;
+    assert_eq!(outcome, Ok(Outcome::Committed));
+    assert!(server.request().ends_with(r#"{"conditions":[],"puts":[],"deletes":[]}"#));
+    let body = r#"{"committed":false,"conflicts":[{"key":"a","revision":null,"value":null}]}"#;
+    let server = OneAnswer::status("409 Conflict", body);
+    let outcome = server.client().transact(Transaction::default()).await;
+    assert!(matches!(&outcome, Ok(Outcome::Conflicts(c)) if c.len() == 1), "{outcome:?}");
+}
+
+/// Guards against an object that exists with other bytes and counts as stored.
+#[actix_rt::test]
+async fn object_outcomes_are_told_apart() {
+    let cases = [
+        ("201 Created", Stored::Created),
+        ("200 OK", Stored::Same),
+        ("409 Conflict", Stored::Different),
+    ];
+    for (status, stored) in cases {
+        let server = OneAnswer::status(status, "");
+        let found = server.client().put_object("catalogue/x", Bytes::from_static(b"body")).await;
+        assert_eq!(found, Ok(stored), "{status}");
+        assert!(server.request().starts_with("PUT /objects/catalogue/x HTTP/1.1\r\n"));
+    }
+}
+
+/// Guards against a refusal that looks as if the write may have taken effect.
+#[actix_rt::test]
+async fn refusals_had_no_effect() {
+    for status in ["429 Too Many Requests", "503 Service Unavailable"] {
+        let server = OneAnswer::status(status, "");
+        let outcome = server.client().transact(Transaction::default()).await;
+        assert!(matches!(outcome, Err(PlatformError::Refused(_))), "{status}: {outcome:?}");
+    }
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    drop(listener);
+    let outcome = client(addr).transact(Transaction::default()).await;
+    assert!(matches!(outcome, Err(PlatformError::Refused(_))), "no listener: {outcome:?}");
+}
+
+/// Guards against a write that may have taken effect and is reported as refused (P6, P7).
+#[actix_rt::test]
+async fn broken_answers_may_have_taken_effect() {
+    let partial = "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n{\"committed\"";
+    let large = format!("HTTP/1.1 200 OK\r\ncontent-length: 5000\r\n\r\n{}", " ".repeat(5000));
+    let cases = [
+        ("no answer, connection held", String::new(), true),
+        ("no answer, connection closed", String::new(), false),
+        ("half an answer, connection held", partial.to_string(), true),
+        ("half an answer, connection closed", partial.to_string(), false),
+        ("not HTTP", "?????\r\n\r\n".to_string(), false),
+        ("not JSON", "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{]".to_string(), true),
+        ("a larger answer than allowed", large, true),
+        ("500", "HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n".to_string(), true),
+    ];
+    for (what, answer, hold) in cases {
+        let server = OneAnswer::start(answer, hold);
+        let outcome = server.client().transact(Transaction::default()).await;
+        assert!(matches!(outcome, Err(PlatformError::NoAnswer(_))), "{what}: {outcome:?}");
+    }
+}
+
+/// Guards against a status outside the protocol that counts as success.
+#[actix_rt::test]
+async fn unexpected_status_is_an_error() {
+    let server = OneAnswer::status("302 Found", "");
+    let outcome = server.client().get("head").await;
+    assert!(matches!(outcome, Err(PlatformError::Protocol(_))), "{outcome:?}");
+}
