--- a/crates/ibisroute/src/node/admin.rs
+++ b/crates/ibisroute/src/node/admin.rs
@@ -20,6 +20,7 @@
 
 use super::control::ControlActors;
 use super::handle::ControlWork;
+use super::handle::LeaveReply;
 use super::handle::TargetAnnouncement;
 use super::run::NodeContext;
 use super::targets::QueryTargets;
@@ -236,23 +237,20 @@
 #[serde(deny_unknown_fields)]
 struct LeaveRequest {
     instance: InstanceId,
-    /// Answer only when the calls in flight have ended (200); otherwise at once (202).
-    #[serde(default)]
-    wait: bool,
 }
 
+/// Answers 202 while calls are in flight and 200 when they have ended; the target repeats the
+/// request until then.
 async fn leave(admin: web::Data<Admin>, req: web::Json<LeaveRequest>) -> HttpResponse {
-    let LeaveRequest { instance, wait } = req.into_inner();
+    let instance = req.into_inner().instance;
     let (reply, rx) = oneshot::channel();
     if let Err(e) = admin.cx.control.send(ControlWork::Leave { instance, reply }) {
         return ended(e);
     }
-    if !wait {
-        return HttpResponse::Accepted().finish();
-    }
     match rx.await {
-        Ok(true) => HttpResponse::Ok().finish(),
-        Ok(false) => failure(StatusCode::NOT_FOUND, "no such instance"),
+        Ok(LeaveReply::Draining) => HttpResponse::Accepted().finish(),
+        Ok(LeaveReply::Gone) => HttpResponse::Ok().finish(),
+        Ok(LeaveReply::Unknown) => failure(StatusCode::NOT_FOUND, "no such instance"),
         Err(e) => ended(e),
     }
 }
--- a/crates/ibisroute/src/node/handle.rs
+++ b/crates/ibisroute/src/node/handle.rs
@@ -72,8 +72,8 @@
     Leave {
         /// The run of the target.
         instance: InstanceId,
-        /// Resolved when its calls in flight have ended; `false` for an unknown instance.
-        reply: oneshot::Sender<bool>,
+        /// Takes how far the leave is.
+        reply: oneshot::Sender<LeaveReply>,
     },
     /// The dispatch thread found a target unreachable, or reachable again.
     TargetReachable {
@@ -111,6 +111,17 @@
     pub lease_ms: u64,
 }
 
+/// How far the leave of a target is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaveReply {
+    /// It gets no new calls; calls are in flight.
+    Draining,
+    /// Its calls have ended.
+    Gone,
+    /// No such target has announced itself to this node.
+    Unknown,
+}
+
 /// The control thread has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[display("the control thread has ended")]
--- a/crates/ibisroute/src/node/targets.rs
+++ b/crates/ibisroute/src/node/targets.rs
@@ -16,6 +16,7 @@
 use tokio::sync::oneshot;
 
 use super::handle::AnnounceReply;
+use super::handle::LeaveReply;
 use super::handle::TargetAnnouncement;
 use super::messages::LocalTargets;
 use crate::events;
@@ -29,6 +30,9 @@
 use crate::types::InstanceId;
 use crate::types::Millis;
 
+/// How long a target's leave is remembered after it has gone.
+const LEFT_KEPT: Millis = Millis(600_000);
+
 /// Settings of the node's dealings with the targets beside it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -61,8 +65,8 @@
 pub struct Leave {
     /// The run of the target.
     pub instance: InstanceId,
-    /// Resolved when its calls in flight have ended; `false` for an unknown instance.
-    pub reply: oneshot::Sender<bool>,
+    /// Takes how far the leave is.
+    pub reply: oneshot::Sender<LeaveReply>,
 }
 
 /// What the dispatch thread saw of a target.
@@ -83,7 +87,8 @@
     table: LocalTargetTable,
     dispatch: DispatchHandle,
     membership: Recipient<LocalTargets>,
-    leaving: BTreeMap<InstanceId, Vec<oneshot::Sender<bool>>>,
+    /// Targets that asked to leave, with the time; kept so that a repeated request is answered.
+    left: BTreeMap<InstanceId, Millis>,
     client: awc::Client,
     started: Instant,
 }
@@ -104,14 +109,18 @@
             table: LocalTargetTable::new(membership_cfg.clone()),
             dispatch,
             membership,
-            leaving: BTreeMap::new(),
+            left: BTreeMap::new(),
             client: awc::Client::builder().timeout(timeout).finish(),
             started: Instant::now(),
         }
     }
 
+    fn now(&self) -> Millis {
+        Millis::from(self.started.elapsed())
+    }
+
     fn step(&mut self, event: TargetEvent) {
-        let now = Millis::from(self.started.elapsed());
+        let now = self.now();
         for action in self.table.step(now, event) {
             match action {
                 TargetAction::Changed(records) => self.membership.do_send(LocalTargets(records)),
@@ -119,7 +128,7 @@
                     events::emit(&events::node::TARGET_DRAINING, format_args!("{instance}"));
                     // Dispatch never reverts a drain, but a target whose lease expired may return.
                     // Until then it is enough that no node chooses it.
-                    if self.leaving.contains_key(&instance) {
+                    if self.left.contains_key(&instance) {
                         self.dispatch.drain(instance);
                     }
                 }
@@ -131,10 +140,6 @@
     fn gone(&mut self, instance: &InstanceId) {
         events::emit(&events::node::TARGET_GONE, format_args!("{instance}"));
         self.dispatch.remove(instance.clone());
-        for reply in self.leaving.remove(instance).unwrap_or_default() {
-            // The target may not wait for the answer.
-            let _ = reply.send(true);
-        }
     }
 
     fn check_health(&mut self, cx: &mut Context<Self>) {
@@ -194,12 +199,21 @@
 
     fn handle(&mut self, message: Leave, _cx: &mut Self::Context) {
         let Leave { instance, reply } = message;
-        if self.table.get(&instance).is_none() {
-            let _ = reply.send(false);
-            return;
+        let now = self.now();
+        self.left.retain(|_, since| now.since(*since) < LEFT_KEPT);
+        if self.table.get(&instance).is_some() {
+            self.left.entry(instance.clone()).or_insert(now);
+            self.step(TargetEvent::Leave(instance.clone()));
         }
-        self.leaving.entry(instance.clone()).or_default().push(reply);
-        self.step(TargetEvent::Leave(instance));
+        let answer = if self.table.get(&instance).is_some() {
+            LeaveReply::Draining
+        } else if self.left.contains_key(&instance) {
+            LeaveReply::Gone
+        } else {
+            LeaveReply::Unknown
+        };
+        // The target may not wait for the answer.
+        let _ = reply.send(answer);
     }
 }
 
