Add relays and the harness for node processes

Cause: tests need silent connections, partitions and real processes that are killed, paused and restarted. Change: TCP and UDP relays with rules by source IP, which bind their outgoing sockets to the source's address. Cluster writes settings, starts ibisrouted, learns its addresses, sends signals and kills every child when it is dropped. Conclusion: the names that the harness reads from /status and /members have to be checked against the first real node.

--- /dev/null
+++ b/crates/standins/src/harness/cluster.rs
@@ -0,0 +1,643 @@
+//! A cluster of node processes on loopback addresses.
+
+use std::fs;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use eyre::OptionExt;
+use eyre::WrapErr;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Map;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::http;
+use crate::http::Request;
+use crate::platform::PlatformStandin;
+use crate::relay::TcpRelay;
+use crate::relay::UdpRelay;
+use crate::target::TargetOptions;
+use crate::target::TargetStandin;
+use crate::wait;
+
+use super::process::Log;
+use super::process::Output;
+use super::process::Process;
+use super::process::run;
+
+/// Time within which a node must print its addresses.
+const START_BOUND: Duration = Duration::from_secs(10);
+
+/// Time within which a killed process must be gone.
+const KILL_BOUND: Duration = Duration::from_secs(10);
+
+/// Longest run of `ibisctl`.
+const CTL_BOUND: Duration = Duration::from_secs(60);
+
+/// Longest wait for an answer of the admin interface.
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Lines of each node's output that are printed on failure.
+const PRINTED_LINES: usize = 100;
+
+/// Addresses that a node prints at its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeAddresses {
+    /// UDP control.
+    pub control: SocketAddr,
+    /// TCP for peers.
+    pub peer: SocketAddr,
+    /// HTTP for callers.
+    pub caller: SocketAddr,
+    /// HTTP for operators.
+    pub admin: SocketAddr,
+    /// HTTP for the targets beside the node.
+    pub targets: SocketAddr,
+}
+
+/// What a node is to be.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeSpec {
+    /// Name, unique in the cluster.
+    pub name: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Region.
+    pub region: String,
+    /// Address that it binds to.
+    pub ip: Ipv4Addr,
+    /// Further sections of its settings; they go over those of the builder.
+    pub sections: Map<String, Value>,
+}
+
+/// Describes a cluster.
+pub struct Builder {
+    ibisrouted: PathBuf,
+    ibisctl: Option<PathBuf>,
+    nodes: Vec<NodeSpec>,
+    data_centres: u8,
+    relays: bool,
+    sections: Map<String, Value>,
+    log_level: String,
+}
+
+impl Builder {
+    /// Path of the `ibisctl` binary.
+    #[must_use]
+    pub fn ibisctl(mut self, path: impl Into<PathBuf>) -> Self {
+        self.ibisctl = Some(path.into());
+        self
+    }
+
+    /// Adds a data centre with `nodes` nodes named `<data centre>-01` and so on. The nodes of the
+    /// first data centre bind to 127.0.1.1 and following, those of the second to 127.0.2.1, ...
+    #[must_use]
+    pub fn data_centre(mut self, name: &str, region: &str, nodes: u8) -> Self {
+        self.data_centres += 1;
+        for n in 1..=nodes {
+            self.nodes.push(NodeSpec {
+                name: format!("{name}-{n:02}"),
+                data_centre: name.to_string(),
+                region: region.to_string(),
+                ip: Ipv4Addr::new(127, 0, self.data_centres, n),
+                sections: Map::new(),
+            });
+        }
+        self
+    }
+
+    /// Adds one node.
+    #[must_use]
+    pub fn node(mut self, spec: NodeSpec) -> Self {
+        self.nodes.push(spec);
+        self
+    }
+
+    /// Puts relays in front of the control and peer addresses of each node, and between the nodes
+    /// and the platform.
+    #[must_use]
+    pub fn relays(mut self) -> Self {
+        self.relays = true;
+        self
+    }
+
+    /// Sets a section of every node's settings, for example `membership`.
+    #[must_use]
+    pub fn section(mut self, name: &str, settings: Value) -> Self {
+        self.sections.insert(name.to_string(), settings);
+        self
+    }
+
+    /// Sets the log level, `info` by default.
+    #[must_use]
+    pub fn log_level(mut self, level: &str) -> Self {
+        self.log_level = level.to_string();
+        self
+    }
+
+    /// Starts the platform, the relays and all nodes, and waits until each node has printed its
+    /// addresses. It does not wait until the nodes are ready.
+    pub fn start(self) -> eyre::Result<Cluster> {
+        static CLUSTERS: AtomicU32 = AtomicU32::new(0);
+        let number = CLUSTERS.fetch_add(1, Ordering::Relaxed);
+        let folder =
+            std::env::temp_dir().join(format!("ibisroute-{}-{number}", std::process::id()));
+        fs::create_dir_all(&folder).wrap_err_with(|| format!("create {}", folder.display()))?;
+        let platform = PlatformStandin::start(local(Ipv4Addr::LOCALHOST))?;
+        let platform_relay = if self.relays {
+            let relay = TcpRelay::start(local(Ipv4Addr::LOCALHOST))?;
+            relay.set_destination(platform.addr());
+            Some(relay)
+        } else {
+            None
+        };
+        let platform_addr = platform_relay.as_ref().map_or(platform.addr(), TcpRelay::addr);
+        let mut nodes = Vec::new();
+        for spec in self.nodes {
+            let mut sections = self.sections.clone();
+            sections.extend(spec.sections.clone());
+            sections.insert("platform".to_string(), merge_platform(&sections, platform_addr));
+            sections.entry("log").or_insert_with(|| json!({"level": self.log_level}));
+            let relays = if self.relays {
+                Some((UdpRelay::start(local(spec.ip))?, TcpRelay::start(local(spec.ip))?))
+            } else {
+                None
+            };
+            let settings = folder.join(format!("{}.json", spec.name));
+            nodes.push(Node {
+                spec,
+                settings,
+                sections,
+                relays,
+                addresses: None,
+                process: None,
+                earlier: Log::default(),
+                paused: false,
+            });
+        }
+        let mut cluster = Cluster {
+            ibisrouted: self.ibisrouted,
+            ibisctl: self.ibisctl,
+            nodes,
+            targets: Vec::new(),
+            platform,
+            platform_relay,
+            folder,
+        };
+        let all: Vec<_> = (0..cluster.nodes.len()).collect();
+        cluster.start_nodes(&all)?;
+        Ok(cluster)
+    }
+}
+
+fn local(ip: Ipv4Addr) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(ip), 0)
+}
+
+/// The `platform` section with the address of the stand-in, also when a test gives the section.
+fn merge_platform(sections: &Map<String, Value>, addr: SocketAddr) -> Value {
+    let mut section = sections.get("platform").cloned().unwrap_or_else(|| json!({}));
+    section["address"] = json!(addr);
+    section
+}
+
+/// A node and its process, which may be down.
+pub struct Node {
+    spec: NodeSpec,
+    settings: PathBuf,
+    sections: Map<String, Value>,
+    relays: Option<(UdpRelay, TcpRelay)>,
+    addresses: Option<NodeAddresses>,
+    process: Option<Process>,
+    earlier: Log,
+    paused: bool,
+}
+
+impl Node {
+    /// What it was to be.
+    pub fn spec(&self) -> &NodeSpec {
+        &self.spec
+    }
+
+    /// The addresses that it chose at its first start and keeps across restarts.
+    pub fn addresses(&self) -> eyre::Result<NodeAddresses> {
+        self.addresses.ok_or_eyre("the node has not printed its addresses")
+    }
+
+    /// Process id while it runs.
+    pub fn process_id(&self) -> Option<u32> {
+        self.process.as_ref().map(Process::id)
+    }
+
+    /// Relay in front of its UDP control address.
+    pub fn udp_relay(&self) -> Option<&UdpRelay> {
+        self.relays.as_ref().map(|(udp, _)| udp)
+    }
+
+    /// Relay in front of its TCP peer address.
+    pub fn tcp_relay(&self) -> Option<&TcpRelay> {
+        self.relays.as_ref().map(|(_, tcp)| tcp)
+    }
+
+    /// Asks its admin interface; `None` without a whole answer within 1 s.
+    pub fn admin(&self, path: &str) -> Option<http::Response> {
+        let admin = self.addresses?.admin;
+        Request::new("GET", format!("http://{admin}{path}")).timeout(ADMIN_TIMEOUT).send().ok()
+    }
+
+    /// Whether it says that it serves.
+    pub fn is_ready(&self) -> bool {
+        self.admin("/ready").is_some_and(|response| response.status == 200)
+    }
+
+    /// The configuration version in effect.
+    pub fn version(&self) -> Option<u64> {
+        let status = self.admin("/status")?.json();
+        status["version"].as_u64().or_else(|| status["version_in_effect"].as_u64())
+    }
+
+    /// Members that it does not know as dead, itself included.
+    pub fn members(&self) -> Option<usize> {
+        let body = self.admin("/members")?.json();
+        let members = body["members"].as_array().or_else(|| body.as_array())?;
+        Some(members.iter().filter(|member| member["status"] != "dead").count())
+    }
+
+    /// Everything that it printed since the cluster started, at most 20,000 lines of each process.
+    pub fn log(&self) -> Vec<String> {
+        let mut lines = self.earlier.lines();
+        if let Some(process) = &self.process {
+            lines.extend(process.stdout.lines());
+            lines.extend(process.stderr.lines());
+        }
+        lines
+    }
+
+    fn write_settings(&self) -> eyre::Result<()> {
+        let any = local(self.spec.ip);
+        let listen = match self.addresses {
+            Some(addresses) => json!(addresses),
+            None => json!({"control": any, "peer": any, "caller": any, "admin": any,
+                           "targets": any}),
+        };
+        let advertise = json!({
+            "control": self.udp_relay().map(UdpRelay::addr),
+            "peer": self.tcp_relay().map(TcpRelay::addr),
+        });
+        let mut settings = json!({
+            "node": self.spec.name,
+            "data_centre": self.spec.data_centre,
+            "region": self.spec.region,
+            "listen": listen,
+            "advertise": advertise,
+        });
+        for (name, section) in &self.sections {
+            settings[name] = section.clone();
+        }
+        fs::write(&self.settings, serde_json::to_vec_pretty(&settings)?)
+            .wrap_err_with(|| format!("write {}", self.settings.display()))
+    }
+
+    fn start(&mut self, program: &Path) -> eyre::Result<()> {
+        eyre::ensure!(self.process.is_none(), "node {} runs already", self.spec.name);
+        self.write_settings()?;
+        let settings = self.settings.to_str().ok_or_eyre("the temporary folder is not UTF-8")?;
+        self.process = Some(Process::start(program, &["--settings", settings])?);
+        self.paused = false;
+        Ok(())
+    }
+
+    /// Waits for the line with the addresses and lets the relays lead to them.
+    fn learn_addresses(&mut self) -> eyre::Result<()> {
+        let Some(process) = &mut self.process else { eyre::bail!("the node is not running") };
+        let what = format!("node {} to print its addresses", self.spec.name);
+        let found = wait::until(&what, START_BOUND, || {
+            let lines = process.stdout.lines();
+            let found = lines.iter().find_map(|line| serde_json::from_str(line).ok());
+            match found {
+                Some(addresses) => Some(Ok::<NodeAddresses, _>(addresses)),
+                None => process.ended().map(Err),
+            }
+        });
+        let addresses = match found {
+            Ok(Ok(addresses)) => addresses,
+            Ok(Err(status)) => {
+                let log = self.log().join("\n");
+                eyre::bail!("node {} ended at its start, {status}:\n{log}", self.spec.name);
+            }
+            Err(e) => eyre::bail!("{e}\n{}", self.log().join("\n")),
+        };
+        self.addresses = Some(addresses);
+        if let Some((udp, tcp)) = &self.relays {
+            udp.set_destination(addresses.control);
+            tcp.set_destination(addresses.peer);
+        }
+        Ok(())
+    }
+
+    /// Collects the output of a process that has ended.
+    fn retire(&mut self) {
+        let Some(process) = self.process.take() else { return };
+        let elapsed = process.started.elapsed().as_millis();
+        for line in process.stdout.lines().into_iter().chain(process.stderr.lines()) {
+            self.earlier.push(line);
+        }
+        self.earlier.push(format!("--- process {} ended after {elapsed} ms ---", process.id()));
+    }
+
+    fn signal(&self, signal: &str) -> eyre::Result<()> {
+        match &self.process {
+            Some(process) => process.signal(signal),
+            None => eyre::bail!("node {} is not running", self.spec.name),
+        }
+    }
+}
+
+/// Running nodes with their platform, relays and targets. Everything is stopped when it is dropped;
+/// after a panic the last lines of each node are printed first.
+pub struct Cluster {
+    nodes: Vec<Node>,
+    targets: Vec<(usize, TargetStandin)>,
+    platform: PlatformStandin,
+    platform_relay: Option<TcpRelay>,
+    ibisrouted: PathBuf,
+    ibisctl: Option<PathBuf>,
+    folder: PathBuf,
+}
+
+impl Cluster {
+    /// Describes a cluster whose nodes run this `ibisrouted` binary.
+    pub fn builder(ibisrouted: impl Into<PathBuf>) -> Builder {
+        Builder {
+            ibisrouted: ibisrouted.into(),
+            ibisctl: None,
+            nodes: Vec::new(),
+            data_centres: 0,
+            relays: false,
+            sections: Map::new(),
+            log_level: "info".to_string(),
+        }
+    }
+
+    /// The platform.
+    pub fn platform(&self) -> &PlatformStandin {
+        &self.platform
+    }
+
+    /// Relay between the nodes and the platform.
+    pub fn platform_relay(&self) -> Option<&TcpRelay> {
+        self.platform_relay.as_ref()
+    }
+
+    /// All nodes, also those that are down.
+    pub fn nodes(&self) -> &[Node] {
+        &self.nodes
+    }
+
+    /// The node with this index.
+    pub fn node(&self, index: usize) -> &Node {
+        &self.nodes[index]
+    }
+
+    /// Folder of the nodes' settings; tests may put files there.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Indices of the nodes in a data centre.
+    pub fn in_data_centre(&self, name: &str) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|i| self.nodes[*i].spec.data_centre == name).collect()
+    }
+
+    /// Addresses for callers of the nodes that run.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        let running = self.nodes.iter().filter(|node| node.process.is_some());
+        running.filter_map(|node| node.addresses).map(|addresses| addresses.caller).collect()
+    }
+
+    /// The targets with the index of the node beside each.
+    pub fn targets(&self) -> impl Iterator<Item = (usize, &TargetStandin)> {
+        self.targets.iter().map(|(node, target)| (*node, target))
+    }
+
+    /// Starts a target beside a node, on the node's IP address, and returns it.
+    pub fn start_target(
+        &mut self,
+        node: usize,
+        options: TargetOptions,
+    ) -> eyre::Result<&TargetStandin> {
+        let beside = &self.nodes[node];
+        let addresses = beside.addresses()?;
+        let target = TargetStandin::start(TargetOptions {
+            listen: local(beside.spec.ip),
+            node: Some(addresses.targets),
+            chain_node: Some(addresses.caller),
+            ..options
+        })?;
+        self.targets.push((node, target));
+        self.targets.last().map(|(_, target)| target).ok_or_eyre("the target was just added")
+    }
+
+    /// Takes a target out, to stop or kill it.
+    pub fn take_target(&mut self, instance: &str) -> Option<TargetStandin> {
+        let index = self.targets.iter().position(|(_, t)| t.options().instance == instance)?;
+        Some(self.targets.remove(index).1)
+    }
+
+    /// Starts nodes that are down, all at once, on the addresses that they had before, and waits
+    /// until each has printed its addresses.
+    pub fn start_nodes(&mut self, indices: &[usize]) -> eyre::Result<()> {
+        for index in indices {
+            self.nodes[*index].start(&self.ibisrouted)?;
+        }
+        for index in indices {
+            self.nodes[*index].learn_addresses()?;
+        }
+        Ok(())
+    }
+
+    /// Kills nodes with SIGKILL, all at once, and waits until they are gone.
+    pub fn kill_nodes(&mut self, indices: &[usize]) -> eyre::Result<()> {
+        for index in indices {
+            if let Some(process) = &mut self.nodes[*index].process {
+                process.kill();
+            }
+        }
+        for index in indices {
+            let node = &mut self.nodes[*index];
+            if let Some(process) = &mut node.process {
+                process.wait(KILL_BOUND)?;
+            }
+            node.retire();
+        }
+        Ok(())
+    }
+
+    /// Kills nodes and starts them again on the same addresses.
+    pub fn restart_nodes(&mut self, indices: &[usize]) -> eyre::Result<()> {
+        self.kill_nodes(indices)?;
+        self.start_nodes(indices)
+    }
+
+    /// Pauses a node with SIGSTOP.
+    pub fn pause_node(&mut self, index: usize) -> eyre::Result<()> {
+        self.nodes[index].signal("STOP")?;
+        self.nodes[index].paused = true;
+        Ok(())
+    }
+
+    /// Resumes a paused node with SIGCONT.
+    pub fn resume_node(&mut self, index: usize) -> eyre::Result<()> {
+        self.nodes[index].signal("CONT")?;
+        self.nodes[index].paused = false;
+        Ok(())
+    }
+
+    /// Sends SIGTERM without waiting.
+    pub fn terminate_node(&mut self, index: usize) -> eyre::Result<()> {
+        self.nodes[index].signal("TERM")
+    }
+
+    /// Waits until a node has ended by itself and returns its exit code.
+    pub fn wait_ended(&mut self, index: usize, bound: Duration) -> eyre::Result<Option<i32>> {
+        let node = &mut self.nodes[index];
+        let Some(process) = &mut node.process else { eyre::bail!("the node is not running") };
+        let status = process.wait(bound)?;
+        node.retire();
+        Ok(status.code())
+    }
+
+    /// Sends SIGTERM and waits until the node has ended; returns its exit code.
+    pub fn stop_node(&mut self, index: usize, bound: Duration) -> eyre::Result<Option<i32>> {
+        self.terminate_node(index)?;
+        self.wait_ended(index, bound)
+    }
+
+    /// Silences everything between the nodes of two data centres, in both directions. Needs relays.
+    pub fn partition(&self, one: &str, other: &str) -> eyre::Result<()> {
+        for (from, to) in [(one, other), (other, one)] {
+            let sources: Vec<IpAddr> =
+                self.in_data_centre(from).iter().map(|i| self.nodes[*i].spec.ip.into()).collect();
+            for index in self.in_data_centre(to) {
+                let Some((udp, tcp)) = &self.nodes[index].relays else {
+                    eyre::bail!("a partition needs a cluster with relays");
+                };
+                udp.change_rules(|rules| rules.silent_sources.extend(&sources));
+                tcp.change_rules(|rules| rules.silent_sources.extend(&sources));
+            }
+        }
+        Ok(())
+    }
+
+    /// Silences the platform for the nodes of a data centre. Needs relays.
+    pub fn partition_platform(&self, data_centre: &str) -> eyre::Result<()> {
+        let relay = self.platform_relay.as_ref();
+        let relay = relay.ok_or_eyre("a partition needs a cluster with relays")?;
+        let indices = self.in_data_centre(data_centre);
+        let sources = indices.iter().map(|i| IpAddr::from(self.nodes[*i].spec.ip));
+        relay.change_rules(|rules| rules.silent_sources.extend(sources));
+        Ok(())
+    }
+
+    /// Ends all partitions.
+    pub fn heal(&self) {
+        for (udp, tcp) in self.nodes.iter().filter_map(|node| node.relays.as_ref()) {
+            udp.change_rules(|rules| rules.silent_sources.clear());
+            tcp.change_rules(|rules| rules.silent_sources.clear());
+        }
+        if let Some(relay) = &self.platform_relay {
+            relay.change_rules(|rules| rules.silent_sources.clear());
+        }
+    }
+
+    /// Nodes that run and are not paused.
+    fn awake(&self) -> impl Iterator<Item = &Node> {
+        self.nodes.iter().filter(|node| node.process.is_some() && !node.paused)
+    }
+
+    /// Waits until `f` holds for every node that runs and is not paused.
+    pub fn wait_all(
+        &self,
+        what: &str,
+        bound: Duration,
+        mut f: impl FnMut(&Node) -> bool,
+    ) -> eyre::Result<()> {
+        let result = wait::until_true(what, bound, || self.awake().all(&mut f));
+        result.map_err(|e| {
+            let status: Vec<_> = self
+                .awake()
+                .map(|node| {
+                    let status = node.admin("/status").map(|response| response.json());
+                    let status = status.map_or("no answer".to_string(), |json| json.to_string());
+                    format!("{}: {status}", node.spec.name)
+                })
+                .collect();
+            eyre::eyre!("{e}\n{}", status.join("\n"))
+        })
+    }
+
+    /// Waits until all nodes that run are ready.
+    pub fn wait_ready(&self, bound: Duration) -> eyre::Result<()> {
+        self.wait_all("ready nodes", bound, Node::is_ready)
+    }
+
+    /// Waits until all nodes that run have at least this version in effect.
+    pub fn wait_version(&self, version: u64, bound: Duration) -> eyre::Result<()> {
+        let what = format!("version {version}");
+        self.wait_all(&what, bound, |node| node.version().is_some_and(|v| v >= version))
+    }
+
+    /// Waits until all nodes that run know exactly this many members that are not dead.
+    pub fn wait_members(&self, count: usize, bound: Duration) -> eyre::Result<()> {
+        let what = format!("{count} members");
+        self.wait_all(&what, bound, |node| node.members() == Some(count))
+    }
+
+    /// Applies a catalogue without `ibisctl` and returns its version.
+    pub fn apply(&self, document: &Value) -> eyre::Result<u64> {
+        super::apply_catalogue(self.platform.addr(), "harness", document)
+    }
+
+    /// Runs `ibisctl` with arguments.
+    pub fn ctl(&self, args: &[&str]) -> eyre::Result<Output> {
+        let program = self.ibisctl.as_ref().ok_or_eyre("the builder was given no ibisctl")?;
+        run(program, args, CTL_BOUND)
+    }
+
+    /// Prints the last lines of each node to standard error.
+    pub fn print_logs(&self) {
+        for node in &self.nodes {
+            let lines = node.log();
+            eprintln!("=== {} ({} lines) ===", node.spec.name, lines.len());
+            for line in lines.iter().rev().take(PRINTED_LINES).rev() {
+                eprintln!("{line}");
+            }
+        }
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.print_logs();
+        }
+        for node in &mut self.nodes {
+            if let Some(process) = &mut node.process {
+                process.kill();
+            }
+        }
+        // Targets end after their nodes, so that no node sees them go.
+        for node in &mut self.nodes {
+            node.process = None;
+        }
+        self.targets.clear();
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/harness/process.rs
@@ -0,0 +1,164 @@
+//! Child processes: output collected by threads, signals, bounded runs.
+
+use std::collections::VecDeque;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use eyre::WrapErr;
+
+use crate::server::lock;
+use crate::wait;
+
+/// Lines kept of a process's output.
+const LOG_LINES: usize = 20_000;
+
+/// Output of a process that has ended.
+#[derive(Clone, Debug)]
+pub struct Output {
+    /// Exit code; `None` when a signal ended it.
+    pub code: Option<i32>,
+    /// Standard output.
+    pub stdout: String,
+    /// Standard error.
+    pub stderr: String,
+}
+
+/// Runs a program to its end and returns its output. Kills it after `bound`.
+pub fn run(program: &Path, args: &[&str], bound: Duration) -> eyre::Result<Output> {
+    let child = Command::new(program)
+        .args(args)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .wrap_err_with(|| format!("start {}", program.display()))?;
+    let mut child = KillOnDrop(child);
+    let stdout = collect(child.0.stdout.take());
+    let stderr = collect(child.0.stderr.take());
+    let status = wait_exit(&mut child.0, bound)?;
+    let text = |thread: std::thread::JoinHandle<String>| thread.join().unwrap_or_default();
+    Ok(Output { code: status.code(), stdout: text(stdout), stderr: text(stderr) })
+}
+
+fn collect(from: Option<impl Read + Send + 'static>) -> std::thread::JoinHandle<String> {
+    std::thread::spawn(move || {
+        let mut buf = Vec::new();
+        if let Some(mut from) = from {
+            let _ = from.read_to_end(&mut buf);
+        }
+        String::from_utf8_lossy(&buf).into_owned()
+    })
+}
+
+struct KillOnDrop(Child);
+
+impl Drop for KillOnDrop {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn wait_exit(child: &mut Child, bound: Duration) -> eyre::Result<ExitStatus> {
+    let id = child.id();
+    wait::until(&format!("process {id} to end"), bound, || child.try_wait().transpose())?
+        .wrap_err("wait for a process")
+}
+
+/// The last lines that a process printed.
+#[derive(Clone, Default)]
+pub(super) struct Log(Arc<Mutex<VecDeque<String>>>);
+
+impl Log {
+    pub(super) fn push(&self, line: String) {
+        let mut lines = lock(&self.0);
+        if lines.len() >= LOG_LINES {
+            lines.pop_front();
+        }
+        lines.push_back(line);
+    }
+
+    pub(super) fn lines(&self) -> Vec<String> {
+        lock(&self.0).iter().cloned().collect()
+    }
+
+    fn follow(&self, from: Option<impl Read + Send + 'static>) {
+        let Some(from) = from else { return };
+        let log = self.clone();
+        std::thread::spawn(move || {
+            let mut from = BufReader::new(from);
+            let mut buf = Vec::new();
+            while from.read_until(b'\n', &mut buf).is_ok_and(|n| n > 0) {
+                log.push(String::from_utf8_lossy(&buf).trim_end().to_string());
+                buf.clear();
+            }
+        });
+    }
+}
+
+/// A running child. It is killed when it is dropped, also by a panic.
+pub(super) struct Process {
+    child: KillOnDrop,
+    /// What this process printed to standard output.
+    pub(super) stdout: Log,
+    /// What this process printed to standard error.
+    pub(super) stderr: Log,
+    /// When it was started.
+    pub(super) started: Instant,
+}
+
+impl Process {
+    pub(super) fn start(program: &Path, args: &[&str]) -> eyre::Result<Self> {
+        let mut child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .wrap_err_with(|| format!("start {}", program.display()))?;
+        let (stdout, stderr) = (Log::default(), Log::default());
+        stdout.follow(child.stdout.take());
+        stderr.follow(child.stderr.take());
+        Ok(Self { child: KillOnDrop(child), stdout, stderr, started: Instant::now() })
+    }
+
+    pub(super) fn id(&self) -> u32 {
+        self.child.0.id()
+    }
+
+    /// The exit status when it has ended.
+    pub(super) fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.0.try_wait().ok().flatten()
+    }
+
+    /// Sends SIGKILL without waiting.
+    pub(super) fn kill(&mut self) {
+        let _ = self.child.0.kill();
+    }
+
+    /// Waits for the end.
+    pub(super) fn wait(&mut self, bound: Duration) -> eyre::Result<ExitStatus> {
+        wait_exit(&mut self.child.0, bound)
+    }
+
+    /// Sends a signal, for example `STOP`. The `kill` program serves because the workspace forbids
+    /// unsafe code.
+    pub(super) fn signal(&self, signal: &str) -> eyre::Result<()> {
+        let status = Command::new("kill")
+            .args([format!("-{signal}"), self.id().to_string()])
+            .status()
+            .wrap_err("start kill")?;
+        eyre::ensure!(status.success(), "kill -{signal} {} failed: {status}", self.id());
+        Ok(())
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,8 +5,10 @@
 //! `docs/design.md` with their own types, so that they cannot share a mistake with the system.
 
 pub mod body;
+pub mod harness;
 pub mod http;
 pub mod platform;
+pub mod relay;
 mod server;
 pub mod target;
 pub mod wait;
--- /dev/null
+++ b/crates/standins/src/relay/tcp.rs
@@ -0,0 +1,344 @@
+//! TCP relay: silent connections, silence by source IP, latency, resets, refused connections.
+
+use std::collections::HashSet;
+use std::io;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use socket2::SockRef;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::net::tcp::ReadHalf;
+use tokio::net::tcp::WriteHalf;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::server::lock;
+
+/// Bytes read at a time.
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// Chunks on their way in one direction of a connection; bounds memory under latency.
+const CHUNKS_IN_TRANSIT: usize = 256;
+
+/// Rules for all connections of a relay.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct TcpRules {
+    /// Shortest and longest delay of a chunk, in ms; chunks stay in order.
+    pub latency_ms: (u64, u64),
+    /// New connections are reset at once.
+    pub refuse_new: bool,
+    /// New connections are accepted and carry nothing, also after the rule is lifted.
+    pub silence_new: bool,
+    /// Connections from these addresses carry nothing until the rule is lifted, then go on.
+    pub silent_sources: HashSet<IpAddr>,
+    /// Seed of the delays.
+    pub seed: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mode {
+    Pass,
+    Silent,
+    Reset,
+}
+
+#[derive(Default)]
+struct Shared {
+    connections: Mutex<Vec<watch::Sender<Mode>>>,
+    bytes: AtomicU64,
+    accepted: AtomicU64,
+}
+
+impl Shared {
+    fn set_all(&self, from: Option<Mode>, to: Mode) {
+        let mut all = lock(&self.connections);
+        all.retain(|conn| !conn.is_closed());
+        for conn in all.iter() {
+            conn.send_if_modified(|mode| {
+                let applies = from.is_none_or(|from| *mode == from);
+                if applies {
+                    *mode = to;
+                }
+                applies
+            });
+        }
+    }
+}
+
+/// A TCP relay in its own thread; dropping it resets its connections.
+pub struct TcpRelay {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+    rules: watch::Sender<TcpRules>,
+    destination: watch::Sender<Option<SocketAddr>>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl TcpRelay {
+    /// Listens on `listen`. Connections wait until a destination is set.
+    pub fn start(listen: SocketAddr) -> io::Result<Self> {
+        let listener = std::net::TcpListener::bind(listen)?;
+        listener.set_nonblocking(true)?;
+        let addr = listener.local_addr()?;
+        let shared = Arc::new(Shared::default());
+        let (rules, rules_rx) = watch::channel(TcpRules::default());
+        let (destination, destination_rx) = watch::channel(None);
+        let (stop, stopped) = oneshot::channel();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let relay = shared.clone();
+        let thread = std::thread::Builder::new().name(format!("tcp-relay-{}", addr.port())).spawn(
+            move || {
+                runtime.block_on(async move {
+                    tokio::select! {
+                        _ = accept(listener, relay, rules_rx, destination_rx) => {}
+                        _ = stopped => {}
+                    }
+                });
+            },
+        )?;
+        let stop = Some(stop);
+        Ok(Self { addr, shared, rules, destination, stop, thread: Some(thread) })
+    }
+
+    /// The address it listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sets where new connections go.
+    pub fn set_destination(&self, destination: SocketAddr) {
+        self.destination.send_replace(Some(destination));
+    }
+
+    /// Replaces the rules; they hold for existing and new connections.
+    pub fn set_rules(&self, rules: TcpRules) {
+        self.rules.send_replace(rules);
+    }
+
+    /// Changes the rules in force.
+    pub fn change_rules(&self, f: impl FnOnce(&mut TcpRules)) {
+        self.rules.send_modify(f);
+    }
+
+    /// Existing connections stay open and carry nothing any more; new ones work.
+    pub fn silence_existing(&self) {
+        self.shared.set_all(Some(Mode::Pass), Mode::Silent);
+    }
+
+    /// Resets all existing connections, the silent ones included.
+    pub fn reset_existing(&self) {
+        self.shared.set_all(None, Mode::Reset);
+    }
+
+    /// Bytes passed on in both directions.
+    pub fn bytes(&self) -> u64 {
+        self.shared.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Connections accepted.
+    pub fn accepted(&self) -> u64 {
+        self.shared.accepted.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for TcpRelay {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Decides whether a connection may carry data.
+#[derive(Clone)]
+struct Gate {
+    mode: watch::Receiver<Mode>,
+    rules: watch::Receiver<TcpRules>,
+    source: IpAddr,
+}
+
+impl Gate {
+    /// Waits while the connection is silent.
+    async fn passable(&mut self) {
+        loop {
+            let mode = *self.mode.borrow_and_update();
+            let blocked = self.rules.borrow_and_update().silent_sources.contains(&self.source);
+            if mode == Mode::Pass && !blocked {
+                return;
+            }
+            let changed = tokio::select! {
+                changed = self.mode.changed() => changed,
+                changed = self.rules.changed() => changed,
+            };
+            if changed.is_err() {
+                // The relay is being dropped.
+                return std::future::pending().await;
+            }
+        }
+    }
+
+    /// Waits until the connection is to be reset.
+    async fn reset(&mut self) {
+        if self.mode.wait_for(|mode| *mode == Mode::Reset).await.is_err() {
+            std::future::pending().await
+        }
+    }
+}
+
+async fn accept(
+    listener: std::net::TcpListener,
+    shared: Arc<Shared>,
+    rules: watch::Receiver<TcpRules>,
+    destination: watch::Receiver<Option<SocketAddr>>,
+) -> io::Result<()> {
+    let listener = TcpListener::from_std(listener)?;
+    loop {
+        let (client, source) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(_) => {
+                // Out of descriptors, for example; others may become free.
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        let number = shared.accepted.fetch_add(1, Ordering::Relaxed);
+        let (refuse, silence) = {
+            let rules = rules.borrow();
+            (rules.refuse_new, rules.silence_new)
+        };
+        if refuse {
+            reset(&client);
+            continue;
+        }
+        let (tx, mode) = watch::channel(if silence { Mode::Silent } else { Mode::Pass });
+        {
+            let mut all = lock(&shared.connections);
+            all.retain(|conn| !conn.is_closed());
+            all.push(tx);
+        }
+        let gate = Gate { mode, rules: rules.clone(), source: source.ip() };
+        tokio::spawn(relay(client, gate, destination.clone(), shared.clone(), number));
+    }
+}
+
+/// Makes the socket send a reset when it is dropped.
+fn reset(io: &TcpStream) {
+    let _ = SockRef::from(io).set_linger(Some(Duration::ZERO));
+}
+
+async fn relay(
+    mut client: TcpStream,
+    mut gate: Gate,
+    destination: watch::Receiver<Option<SocketAddr>>,
+    shared: Arc<Shared>,
+    number: u64,
+) {
+    let mut reset_gate = gate.clone();
+    let connected = tokio::select! {
+        connected = async {
+            gate.passable().await;
+            connect(gate.source, destination).await
+        } => connected,
+        () = reset_gate.reset() => Err(io::Error::other("reset")),
+    };
+    let Ok(mut server) = connected else {
+        reset(&client);
+        return;
+    };
+    let _ = client.set_nodelay(true);
+    let _ = server.set_nodelay(true);
+    let whole = {
+        let (client_rx, client_tx) = client.split();
+        let (server_rx, server_tx) = server.split();
+        let up = pump(client_rx, server_tx, gate.clone(), &shared, number * 2);
+        let down = pump(server_rx, client_tx, gate, &shared, number * 2 + 1);
+        tokio::select! {
+            result = async { tokio::try_join!(up, down) } => result.is_ok(),
+            () = reset_gate.reset() => false,
+        }
+    };
+    if !whole {
+        reset(&client);
+        reset(&server);
+    }
+}
+
+/// Connects from the source's own address, so that the destination sees it as without a relay.
+async fn connect(
+    source: IpAddr,
+    mut destination: watch::Receiver<Option<SocketAddr>>,
+) -> io::Result<TcpStream> {
+    let set = destination.wait_for(Option::is_some).await;
+    let destination = set.ok().and_then(|set| *set);
+    let destination = destination.ok_or_else(|| io::Error::other("no destination"))?;
+    let socket = match destination {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(destination).await
+}
+
+/// Carries one direction until its end.
+async fn pump(
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
+    gate: Gate,
+    shared: &Shared,
+    number: u64,
+) -> io::Result<()> {
+    let (tx, mut rx) = mpsc::channel::<(Instant, Bytes)>(CHUNKS_IN_TRANSIT);
+    let mut read_gate = gate.clone();
+    let seed = gate.rules.borrow().seed;
+    let mut rng = SmallRng::seed_from_u64(seed ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    let read = async move {
+        let mut buf = vec![0; CHUNK_BYTES];
+        let mut last = Instant::now();
+        loop {
+            read_gate.passable().await;
+            let n = from.read(&mut buf).await?;
+            // An end that arrives in silence must not pass either.
+            read_gate.passable().await;
+            if n == 0 {
+                return Ok::<_, io::Error>(());
+            }
+            let (low, high) = read_gate.rules.borrow().latency_ms;
+            let micros = rng.random_range(low * 1000..=high.max(low) * 1000);
+            last = last.max(Instant::now() + Duration::from_micros(micros));
+            if tx.send((last, Bytes::copy_from_slice(&buf[..n]))).await.is_err() {
+                return Ok(());
+            }
+        }
+    };
+    let mut write_gate = gate;
+    let write = async move {
+        while let Some((at, chunk)) = rx.recv().await {
+            if at > Instant::now() {
+                tokio::time::sleep_until(at).await;
+            }
+            write_gate.passable().await;
+            to.write_all(&chunk).await?;
+            shared.bytes.fetch_add(chunk.len() as u64, Ordering::Relaxed);
+        }
+        to.shutdown().await
+    };
+    tokio::try_join!(read, write).map(|_| ())
+}
--- /dev/null
+++ b/crates/standins/src/relay/udp.rs
@@ -0,0 +1,222 @@
+//! UDP relay: lost, late and repeated datagrams, and rules by source IP.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::io;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::net::UdpSocket as StdUdpSocket;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+
+use crate::server::lock;
+
+/// Largest UDP payload.
+const MAX_DATAGRAM_BYTES: usize = 65_535;
+
+/// Rules of a relay; they hold in both directions.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct UdpRules {
+    /// Share of the datagrams, 0 to 1, that is lost.
+    pub drop_share: f64,
+    /// Share of the datagrams, 0 to 1, that is delivered twice.
+    pub duplicate_share: f64,
+    /// Shortest and longest delay in ms; datagrams can overtake one another.
+    pub delay_ms: (u64, u64),
+    /// Datagrams from these addresses, and the answers to them, are lost.
+    pub silent_sources: HashSet<IpAddr>,
+    /// Seed of losses, duplicates and delays.
+    pub seed: u64,
+}
+
+/// What a relay counted, both directions together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UdpCounters {
+    /// Datagrams that were passed on, duplicates included.
+    pub passed: u64,
+    /// Bytes that were passed on.
+    pub bytes: u64,
+    /// Datagrams that were lost by a rule or for want of a destination.
+    pub lost: u64,
+}
+
+struct State {
+    rules: UdpRules,
+    rng: SmallRng,
+    counters: UdpCounters,
+    destination: Option<SocketAddr>,
+}
+
+type Shared = Arc<Mutex<State>>;
+
+/// A UDP relay in its own thread.
+///
+/// Each source gets a socket of its own towards the destination, bound to the source's IP address;
+/// what comes back on it goes to the source from the relay's address.
+pub struct UdpRelay {
+    addr: SocketAddr,
+    shared: Shared,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl UdpRelay {
+    /// Listens on `listen`. Datagrams are lost until a destination is set.
+    pub fn start(listen: SocketAddr) -> io::Result<Self> {
+        let socket = StdUdpSocket::bind(listen)?;
+        socket.set_nonblocking(true)?;
+        let addr = socket.local_addr()?;
+        let shared = Arc::new(Mutex::new(State {
+            rules: UdpRules::default(),
+            rng: SmallRng::seed_from_u64(0),
+            counters: UdpCounters::default(),
+            destination: None,
+        }));
+        let (stop, stopped) = oneshot::channel();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let relay = shared.clone();
+        let thread = std::thread::Builder::new().name(format!("udp-relay-{}", addr.port())).spawn(
+            move || {
+                runtime.block_on(async move {
+                    tokio::select! {
+                        _ = serve(socket, relay) => {}
+                        _ = stopped => {}
+                    }
+                });
+            },
+        )?;
+        Ok(Self { addr, shared, stop: Some(stop), thread: Some(thread) })
+    }
+
+    /// The address it listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sets where datagrams go.
+    pub fn set_destination(&self, destination: SocketAddr) {
+        lock(&self.shared).destination = Some(destination);
+    }
+
+    /// Replaces the rules and seeds anew.
+    pub fn set_rules(&self, rules: UdpRules) {
+        let mut state = lock(&self.shared);
+        state.rng = SmallRng::seed_from_u64(rules.seed);
+        state.rules = rules;
+    }
+
+    /// Changes the rules in force, without seeding anew.
+    pub fn change_rules(&self, f: impl FnOnce(&mut UdpRules)) {
+        f(&mut lock(&self.shared).rules);
+    }
+
+    /// What it counted since its start.
+    pub fn counters(&self) -> UdpCounters {
+        lock(&self.shared).counters
+    }
+}
+
+impl Drop for UdpRelay {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+async fn serve(socket: StdUdpSocket, shared: Shared) -> io::Result<()> {
+    let socket = Arc::new(UdpSocket::from_std(socket)?);
+    let mut sessions: HashMap<SocketAddr, Arc<UdpSocket>> = HashMap::new();
+    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        // An error here reports that an earlier datagram could not be delivered.
+        let Ok((n, source)) = socket.recv_from(&mut buf).await else { continue };
+        let Some(destination) = lock(&shared).destination else {
+            lock(&shared).counters.lost += 1;
+            continue;
+        };
+        let session = match sessions.get(&source) {
+            Some(session) => session.clone(),
+            None => {
+                let Ok(session) = UdpSocket::bind(SocketAddr::new(source.ip(), 0)).await else {
+                    lock(&shared).counters.lost += 1;
+                    continue;
+                };
+                let session = Arc::new(session);
+                sessions.insert(source, session.clone());
+                tokio::spawn(answers(session.clone(), socket.clone(), source, shared.clone()));
+                session
+            }
+        };
+        deliver(&shared, &session, destination, source.ip(), &buf[..n]).await;
+    }
+}
+
+/// Passes what comes back on a session to its source.
+async fn answers(
+    session: Arc<UdpSocket>,
+    socket: Arc<UdpSocket>,
+    source: SocketAddr,
+    shared: Shared,
+) {
+    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let Ok((n, _)) = session.recv_from(&mut buf).await else { continue };
+        deliver(&shared, &socket, source, source.ip(), &buf[..n]).await;
+    }
+}
+
+/// Applies the rules to a datagram of the session of `source`.
+async fn deliver(
+    shared: &Shared,
+    socket: &Arc<UdpSocket>,
+    to: SocketAddr,
+    source: IpAddr,
+    data: &[u8],
+) {
+    let delays = lock(shared).copies(source, data.len());
+    for delay in delays {
+        if delay.is_zero() {
+            let _ = socket.send_to(data, to).await;
+            continue;
+        }
+        let socket = socket.clone();
+        let data = data.to_vec();
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            let _ = socket.send_to(&data, to).await;
+        });
+    }
+}
+
+impl State {
+    /// Delays of the copies of a datagram that are delivered; none when it is lost.
+    fn copies(&mut self, source: IpAddr, len: usize) -> Vec<Duration> {
+        let silent = self.rules.silent_sources.contains(&source);
+        if silent || self.chance(self.rules.drop_share) {
+            self.counters.lost += 1;
+            return Vec::new();
+        }
+        let copies = 1 + u64::from(self.chance(self.rules.duplicate_share));
+        self.counters.passed += copies;
+        self.counters.bytes += copies * len as u64;
+        let (low, high) = self.rules.delay_ms;
+        (0..copies)
+            .map(|_| self.rng.random_range(low * 1000..=high.max(low) * 1000))
+            .map(Duration::from_micros)
+            .collect()
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        share > 0.0 && self.rng.random_bool(share.min(1.0))
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/harness_processes.rs
@@ -0,0 +1,157 @@
+//! The harness starts, signals and ends node processes as told. A script takes the node's part.
+
+use std::fs;
+use std::panic::AssertUnwindSafe;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use standins::harness::Cluster;
+use standins::harness::apply_catalogue;
+use standins::harness::run;
+use standins::platform::PlatformStandin;
+use standins::platform::faults::PlatformFaults;
+use standins::wait;
+
+const BOUND: Duration = Duration::from_secs(10);
+
+/// A script that takes the part of a program. The scripts are files of the repository because a
+/// file that a test has just written can still be open in a child of another test, and then cannot
+/// be executed.
+fn program(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/programs").join(name)
+}
+
+fn settings(cluster: &Cluster, node: &str) -> Value {
+    let bytes = fs::read(cluster.folder().join(format!("{node}.json"))).expect("settings");
+    serde_json::from_slice(&bytes).expect("JSON")
+}
+
+/// Whether a process exists, a zombie not counted.
+fn lives(id: u32) -> bool {
+    state(id).is_some_and(|state| state != 'Z')
+}
+
+/// State letter of a process.
+fn state(id: u32) -> Option<char> {
+    let stat = fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    stat.rsplit(')').next()?.trim().chars().next()
+}
+
+/// Guards against settings that miss a field, and against a restart on other addresses.
+#[test]
+fn settings_keep_addresses() {
+    let program = program("node.sh");
+    let mut cluster = Cluster::builder(&program)
+        .data_centre("erongo-1", "erongo", 2)
+        .relays()
+        .section("membership", json!({"period_ms": 200}))
+        .start()
+        .expect("a cluster");
+    let first = settings(&cluster, "erongo-1-01");
+    assert_eq!(first["node"], "erongo-1-01");
+    assert_eq!(first["data_centre"], "erongo-1");
+    assert_eq!(first["region"], "erongo");
+    assert_eq!(first["listen"]["control"], "127.0.1.1:0");
+    assert_eq!(first["membership"], json!({"period_ms": 200}));
+    assert_eq!(first["log"], json!({"level": "info"}));
+    let relay = cluster.platform_relay().expect("a relay").addr();
+    assert_eq!(first["platform"]["address"], relay.to_string());
+    let node = cluster.node(0);
+    let advertised = node.udp_relay().expect("a relay").addr().to_string();
+    assert_eq!(first["advertise"]["control"], advertised);
+    assert_eq!(node.addresses().expect("addresses").caller.port(), 5003);
+    assert_eq!(cluster.callers().len(), 2);
+
+    cluster.restart_nodes(&[0]).expect("a restart");
+    let second = settings(&cluster, "erongo-1-01");
+    assert_eq!(second["listen"]["control"], "127.0.1.1:5001");
+    assert_eq!(second["listen"]["targets"], "127.0.1.1:5005");
+    assert_eq!(second["advertise"], first["advertise"]);
+}
+
+/// Guards against processes that outlive a kill, a drop or a panic.
+#[test]
+fn no_process_is_left() {
+    let program = program("node.sh");
+    let start = || Cluster::builder(&program).data_centre("a", "r", 3).start().expect("a cluster");
+    let ids = |cluster: &Cluster| -> Vec<u32> {
+        cluster.nodes().iter().filter_map(|node| node.process_id()).collect()
+    };
+    let mut cluster = start();
+    let all = ids(&cluster);
+    assert_eq!(all.len(), 3);
+    cluster.kill_nodes(&[0, 2]).expect("a kill");
+    assert_eq!(all.iter().map(|id| lives(*id)).collect::<Vec<_>>(), [false, true, false]);
+    assert_eq!(cluster.callers().len(), 1);
+    let folder = cluster.folder().to_path_buf();
+    drop(cluster);
+    assert!(!lives(all[1]));
+    assert!(!folder.exists());
+
+    let cluster = start();
+    let all = ids(&cluster);
+    let panicked = std::panic::catch_unwind(AssertUnwindSafe(move || {
+        let _cluster = cluster;
+        panic!("on purpose: the cluster must not outlive a failed test");
+    }));
+    assert!(panicked.is_err());
+    assert!(all.iter().all(|id| !lives(*id)));
+}
+
+/// Guards against signals that do not arrive, and against lost exit codes.
+#[test]
+fn signals_arrive() {
+    let program = program("stopping_node.sh");
+    let mut cluster =
+        Cluster::builder(&program).data_centre("a", "r", 1).start().expect("a cluster");
+    let id = cluster.node(0).process_id().expect("a process");
+    cluster.pause_node(0).expect("a signal");
+    wait::until_true("the pause", BOUND, || state(id) == Some('T')).expect("a paused process");
+    cluster.resume_node(0).expect("a signal");
+    wait::until_true("the end of the pause", BOUND, || state(id) != Some('T')).expect("resumed");
+    assert_eq!(cluster.stop_node(0, BOUND).expect("an end"), Some(7));
+    assert!(cluster.node(0).process_id().is_none());
+    assert!(cluster.node(0).log().iter().any(|line| line == "stopping"));
+}
+
+/// Guards against a failed start whose reason is not shown.
+#[test]
+fn failed_starts_tell_why() {
+    let program = program("failing_node.sh");
+    let error = Cluster::builder(&program).data_centre("a", "r", 1).start().err();
+    let error = error.expect("an error").to_string();
+    assert!(error.contains("the port is taken"), "{error}");
+}
+
+/// Guards against a lost exit code or output of `ibisctl`.
+#[test]
+fn ctl_output_is_kept() {
+    let output = run(&program("ctl.sh"), &["a", "b"], BOUND).expect("a run");
+    assert_eq!(output.code, Some(4));
+    assert_eq!((output.stdout.as_str(), output.stderr.as_str()), ("out a b\n", "err\n"));
+    assert!(run(&program("sleeper.sh"), &[], Duration::from_millis(200)).is_err());
+}
+
+/// Guards against a catalogue without history row or with a wrong digest, and against a version
+/// that is written twice because the first answer was lost.
+#[test]
+fn catalogues_are_applied_once() {
+    let platform = PlatformStandin::start(([127, 0, 0, 1], 0).into()).expect("a free port");
+    let document = json!({"format": 1, "name": "kuiseb"});
+    assert_eq!(apply_catalogue(platform.addr(), "test", &document).expect("applied"), 1);
+    platform.set_faults(PlatformFaults { lose_next: 2, ..Default::default() });
+    let changed = json!({"format": 1, "name": "koperasi"});
+    assert_eq!(apply_catalogue(platform.addr(), "test", &changed).expect("applied"), 2);
+    let head = platform.row("head").expect("a head").value;
+    assert_eq!(head["version"], 2);
+    let history = platform.rows("history/");
+    assert_eq!(history.len(), 2);
+    assert_eq!(history[1].key, "history/000000000002");
+    assert_eq!(history[1].value["digest"], head["digest"]);
+    let name = format!("catalogue/{}", head["digest"].as_str().unwrap_or_default());
+    let bytes = platform.with_store(|store| store.object(&name)).expect("an object");
+    assert_eq!(serde_json::from_slice::<Value>(&bytes).expect("JSON"), changed);
+}
--- /dev/null
+++ b/crates/standins/tests/programs/sleeper.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Never ends in time.
+exec sleep 60
