--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! `docs/design.md` with their own types, so that they cannot share a mistake with the system.
 
 pub mod body;
+pub mod caller;
 pub mod harness;
 pub mod http;
 pub mod platform;
