Test calls across two nodes; eject unreachable targets at once

Cause: with a silent peer connection every second call spent a retry, until the budget of an entry was empty and calls failed. Change: a failed or silent connection ejects the target at once; a first integration test.

--- a/crates/ibisroute/src/traffic/balancer.rs
+++ b/crates/ibisroute/src/traffic/balancer.rs
@@ -18,8 +18,11 @@
 pub enum Observed {
     /// The target answered well.
     Success,
-    /// The target answered 5xx, could not be reached, or gave no whole answer.
+    /// The target answered 5xx, or gave no whole answer.
     Failure,
+    /// No connection, or the connection went silent: the target is ejected at once, because every
+    /// further call would wait for the same timeout.
+    Unreachable,
     /// Refused or abandoned for reasons that say nothing about the target's health.
     Neutral,
 }
@@ -97,12 +100,15 @@
                 stats.ejections = 0;
                 stats.ejected_until = None;
             }
-            Observed::Failure => stats.failures += 1,
+            Observed::Failure | Observed::Unreachable => stats.failures += 1,
             Observed::Neutral => {}
         }
         let probed = std::mem::take(&mut stats.probing);
-        let over = stats.failures >= self.settings.eject_after && stats.ejected_until.is_none();
-        if observed == Observed::Failure && (probed || over) {
+        let over = observed == Observed::Unreachable
+            || (observed == Observed::Failure && stats.failures >= self.settings.eject_after);
+        // Calls that were in flight when the ejection began do not lengthen it.
+        let begins = over && stats.ejected_until.is_none();
+        if begins || (probed && observed != Observed::Neutral && observed != Observed::Success) {
             let factor = 1 << stats.ejections.min(4);
             stats.ejected_until = Some(Millis(now.0 + self.settings.eject.0 * factor));
             stats.ejections += 1;
--- a/crates/ibisroute/src/traffic/ingress.rs
+++ b/crates/ibisroute/src/traffic/ingress.rs
@@ -266,7 +266,7 @@
                 return Attempted::Refusal(Refusal::not_run(status, "peer", e.to_string()));
             }
             Ok(Err(CallError::Failed(e))) => {
-                attempt.finish(AttemptEnd::Failed, None);
+                attempt.finish(AttemptEnd::Broken, None);
                 return Attempted::Refusal(self.failure("peer", e.to_string()));
             }
             Err(_) => {
--- a/crates/ibisroute/src/traffic/worker.rs
+++ b/crates/ibisroute/src/traffic/worker.rs
@@ -243,7 +243,9 @@
     Answered,
     /// The target failed: 5xx, reset, no whole answer in time.
     Failed,
-    /// The target cannot be connected to: nothing ran, but the fault is the target's.
+    /// The stream to the node beside the target broke or went silent.
+    Broken,
+    /// The target or its node cannot be connected to: nothing ran, but the fault is theirs.
     Unreachable,
     /// Nothing ran; says nothing about the target's health.
     Refused,
@@ -265,11 +267,12 @@
     /// Ends the attempt and counts it.
     pub(super) fn finish(mut self, end: AttemptEnd, load: Option<LoadWire>) {
         self.ended = true;
-        let failed = matches!(end, AttemptEnd::Failed | AttemptEnd::Unreachable);
+        let failed = !matches!(end, AttemptEnd::Answered | AttemptEnd::Refused);
         let observed = match end {
             AttemptEnd::Answered => Observed::Success,
             AttemptEnd::Refused => Observed::Neutral,
-            AttemptEnd::Failed | AttemptEnd::Unreachable => Observed::Failure,
+            AttemptEnd::Failed => Observed::Failure,
+            AttemptEnd::Broken | AttemptEnd::Unreachable => Observed::Unreachable,
         };
         self.release(observed, load);
         let not_run = matches!(end, AttemptEnd::Refused | AttemptEnd::Unreachable);
--- /dev/null
+++ b/crates/ibisroute/tests/traffic_calls.rs
@@ -0,0 +1,477 @@
+//! Calls through two nodes in one process to a small target.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_web::App;
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::HttpServer;
+use actix_web::web;
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream;
+use ibisroute::catalogue::model::Catalogue;
+use ibisroute::catalogue::model::Class;
+use ibisroute::catalogue::model::Entry;
+use ibisroute::catalogue::model::Limits;
+use ibisroute::catalogue::model::Objective;
+use ibisroute::catalogue::model::Service;
+use ibisroute::catalogue::model::Withdrawal;
+use ibisroute::node::handle::ControlHandle;
+use ibisroute::node::handle::ControlWork;
+use ibisroute::peers::ControlTransport;
+use ibisroute::peers::client::PeerClient;
+use ibisroute::peers::peer_settings::PeerSettings;
+use ibisroute::snapshot::CompiledCatalogue;
+use ibisroute::snapshot::Endpoint;
+use ibisroute::snapshot::EndpointView;
+use ibisroute::snapshot::ServiceEndpoints;
+use ibisroute::snapshot::Snapshot;
+use ibisroute::traffic::LocalTarget;
+use ibisroute::traffic::TrafficContext;
+use ibisroute::traffic::TrafficThreads;
+use ibisroute::traffic::start;
+use ibisroute::traffic::traffic_settings::TrafficSettings;
+use ibisroute::types::ByteSize;
+use ibisroute::types::Head;
+use ibisroute::types::Millis;
+use ibisroute::types::Percent;
+use ibisroute::types::RatePerSecond;
+use ibisroute::wire::ClaimReply;
+use ibisroute::wire::ControlReply;
+use ibisroute::wire::ControlRequest;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// Bound of every wait.
+const WAIT: Duration = Duration::from_secs(10);
+
+fn entry(name: &str, class: Class, methods: &[&str]) -> Entry {
+    Entry {
+        name: name.parse().expect("entry name"),
+        owner: "owner".into(),
+        class,
+        service: "counter".parse().expect("service name"),
+        path: format!("/{name}").into(),
+        methods: methods.iter().map(|m| (*m).into()).collect(),
+        idempotency_header: (class == Class::Booking).then(|| "Idempotency-Key".into()),
+        limits: Limits {
+            rate: RatePerSecond(10_000.0),
+            concurrency: 100,
+            deadline: Millis(8_000),
+            retry: Percent(10.0),
+            max_body: ByteSize(100 * 1024 * 1024),
+        },
+        objective: Objective { success: Percent(99.0), latency: Millis(250) },
+    }
+}
+
+fn catalogue() -> Arc<CompiledCatalogue> {
+    let entries = vec![
+        entry("book", Class::Booking, &["POST"]),
+        entry("sheets", Class::CounterQuery, &["GET"]),
+        entry("upload", Class::Upload, &["POST"]),
+    ];
+    let services = vec![Service {
+        name: "counter".parse().expect("service name"),
+        owner: "owner".into(),
+        version: "v1".parse().expect("version name"),
+        report_url: None,
+        withdrawal: Withdrawal::Balanced,
+    }];
+    let catalogue = Catalogue { name: "test".into(), services, entries, moves: Vec::new() };
+    Arc::new(CompiledCatalogue::new(Head::default(), catalogue, Arc::from([])))
+}
+
+struct Node {
+    threads: TrafficThreads,
+    callers: SocketAddr,
+    peers: SocketAddr,
+    snapshot: Arc<ArcSwap<Snapshot>>,
+    seen: Arc<Mutex<Vec<ControlWork>>>,
+}
+
+fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("port");
+    let addr = listener.local_addr().expect("address");
+    (listener, addr)
+}
+
+impl Node {
+    fn start(name: &str) -> Self {
+        let (callers_listener, callers) = listen();
+        let (peers_listener, peers) = listen();
+        let (control, mut rx) = ControlHandle::new();
+        let seen: Arc<Mutex<Vec<ControlWork>>> = Arc::default();
+        let log = seen.clone();
+        actix_rt::spawn(async move {
+            while let Some(work) = rx.recv().await {
+                match work {
+                    ControlWork::Claim { reply, .. } => drop(reply.send(ClaimReply::Granted)),
+                    ControlWork::Peer { reply, .. } => drop(reply.send(ControlReply::Unknown)),
+                    other => log.lock().expect("log").push(other),
+                }
+            }
+        });
+        let snapshot = Arc::new(ArcSwap::from_pointee(Snapshot {
+            config: Some(catalogue()),
+            ..Snapshot::default()
+        }));
+        let threads = start(TrafficContext {
+            node: name.parse().expect("node id"),
+            data_centre: "dc-1".parse().expect("data centre"),
+            callers: callers_listener,
+            peers: peers_listener,
+            snapshot: snapshot.clone(),
+            control,
+            traffic_settings: TrafficSettings { workers: 1, ..TrafficSettings::default() },
+            peer_settings: PeerSettings::default(),
+            seed: 7,
+        })
+        .expect("traffic threads");
+        Self { threads, callers, peers, snapshot, seen }
+    }
+
+    /// Makes `endpoints`, given as (instance, peer address), the ready targets of the service.
+    fn set_endpoints(&self, endpoints: &[(&str, SocketAddr)]) {
+        let ready: Vec<Endpoint> = endpoints
+            .iter()
+            .map(|(instance, peer_addr)| Endpoint {
+                instance: instance.parse().expect("instance"),
+                version: "v1".parse().expect("version"),
+                node: "other".parse().expect("node id"),
+                peer_addr: *peer_addr,
+                data_centre: "dc-1".parse().expect("data centre"),
+                slots: 8,
+                local: *peer_addr == self.peers,
+            })
+            .collect();
+        let known = u32::try_from(ready.len()).expect("few targets");
+        let services =
+            [("counter".parse().expect("service name"), ServiceEndpoints { ready, known })];
+        let mut snapshot = Snapshot::clone(&self.snapshot.load());
+        snapshot.endpoints = Arc::new(EndpointView { services: services.into() });
+        self.snapshot.store(Arc::new(snapshot));
+    }
+
+    fn add_target(&self, instance: &str, address: SocketAddr) {
+        self.threads.dispatch().upsert(LocalTarget {
+            instance: instance.parse().expect("instance"),
+            service: "counter".parse().expect("service name"),
+            version: "v1".parse().expect("version"),
+            address,
+            slots: 8,
+            connections: 8,
+        });
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.callers)
+    }
+
+    fn released_claims(&self) -> usize {
+        let seen = self.seen.lock().expect("log");
+        seen.iter().filter(|w| matches!(w, ControlWork::ReleaseClaim(_))).count()
+    }
+}
+
+/// What the target saw.
+#[derive(Clone)]
+struct TargetLog(mpsc::UnboundedSender<&'static str>);
+
+struct DropNote(TargetLog);
+
+impl Drop for DropNote {
+    fn drop(&mut self) {
+        let _ = self.0.0.send("dropped");
+    }
+}
+
+async fn sheets(req: HttpRequest, log: web::Data<TargetLog>) -> HttpResponse {
+    match req.query_string() {
+        "hang" => {
+            let _note = DropNote(TargetLog::clone(&log));
+            let _ = log.0.send("started");
+            std::future::pending().await
+        }
+        _ => HttpResponse::Ok()
+            .insert_header(("x-seen-depth", req.headers().get("x-ibis-depth").expect("depth").clone()))
+            .body("sheet list"),
+    }
+}
+
+async fn upload(mut body: web::Payload) -> HttpResponse {
+    let mut len = 0;
+    while let Some(Ok(data)) = body.next().await {
+        len += data.len();
+    }
+    HttpResponse::Ok().body(len.to_string())
+}
+
+fn start_target() -> (SocketAddr, mpsc::UnboundedReceiver<&'static str>) {
+    let (listener, addr) = listen();
+    let (tx, rx) = mpsc::unbounded_channel();
+    let log = web::Data::new(TargetLog(tx));
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(log.clone())
+            .route("/sheets", web::get().to(sheets))
+            .route("/book", web::post().to(upload))
+            .route("/upload", web::post().to(upload))
+    })
+    .workers(1)
+    .disable_signals()
+    .h1_allow_half_closed(false)
+    .listen(listener)
+    .expect("target listener")
+    .run();
+    actix_rt::spawn(server);
+    (addr, rx)
+}
+
+/// Two nodes; the target `t1` is beside the second.
+fn start_pair(target: SocketAddr) -> (Node, Node) {
+    let (near, far) = (Node::start("near"), Node::start("far"));
+    far.add_target("t1", target);
+    near.set_endpoints(&[("t1", far.peers)]);
+    far.set_endpoints(&[("t1", far.peers)]);
+    (near, far)
+}
+
+fn client() -> awc::Client {
+    awc::Client::builder().timeout(WAIT).finish()
+}
+
+fn resident_kb(field: &str) -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("status");
+    let line = status.lines().find(|l| l.starts_with(field)).expect("field");
+    line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("number")
+}
+
+/// Guards against calls that lose their answer or headers on the way between nodes.
+#[actix_web::test]
+async fn calls_cross_nodes() {
+    let (target, _log) = start_target();
+    let (near, far) = start_pair(target);
+    for node in [&near, &far] {
+        let request = client().get(node.url("/sheets")).insert_header(("x-request-id", "call-1"));
+        let mut response = request.send().await.expect("answer");
+        assert_eq!(response.status(), 200);
+        assert_eq!(response.headers().get("x-request-id").expect("id"), "call-1");
+        assert_eq!(response.headers().get("x-seen-depth").expect("depth"), "1");
+        assert!(response.headers().get("x-ibis-service-us").is_none());
+        assert_eq!(response.body().await.expect("body"), "sheet list");
+    }
+}
+
+/// Guards against an answer of the wrong kind for paths that no entry has.
+#[actix_web::test]
+async fn unknown_path_refused() {
+    let (target, _log) = start_target();
+    let (near, _far) = start_pair(target);
+    let mut response = client().get(near.url("/nothing")).send().await.expect("answer");
+    assert_eq!(response.status(), 404);
+    assert_eq!(response.headers().get("x-ibis-outcome").expect("outcome"), "not-run");
+    let body: serde_json::Value = response.json().await.expect("JSON");
+    assert_eq!(body["outcome"], "not-run");
+    assert!(body["request_id"].is_string());
+}
+
+/// Guards against buffering of uploads: 64 MB must pass with bounded memory.
+#[actix_web::test]
+async fn upload_streams() {
+    const CHUNKS: usize = 1024;
+    const CHUNK: usize = 64 * 1024;
+    let (target, _log) = start_target();
+    let (near, _far) = start_pair(target);
+    let before = resident_kb("VmRSS");
+    let data = Bytes::from(vec![7; CHUNK]);
+    let body = stream::iter((0..CHUNKS).map(move |_| Ok::<_, std::io::Error>(data.clone())));
+    let mut response = client()
+        .post(near.url("/upload"))
+        .send_body(awc::body::SizedStream::new((CHUNKS * CHUNK) as u64, body))
+        .await
+        .expect("answer");
+    let grown = resident_kb("VmHWM").saturating_sub(before);
+    assert_eq!(response.status(), 200);
+    assert_eq!(response.body().await.expect("body"), (CHUNKS * CHUNK).to_string());
+    println!("resident memory grew by {grown} KB");
+    assert!(grown < 24 * 1024, "resident memory grew by {grown} KB");
+}
+
+/// Guards against calls that outlive their deadline.
+#[actix_web::test]
+async fn deadline_enforced() {
+    let (target, _log) = start_target();
+    let (near, _far) = start_pair(target);
+    let began = Instant::now();
+    let request =
+        client().get(near.url("/sheets?hang")).insert_header(("x-ibis-deadline-ms", "300"));
+    let response = request.send().await.expect("answer");
+    assert!(response.status() == 504 || response.status() == 503, "{}", response.status());
+    assert_eq!(response.headers().get("x-ibis-outcome").expect("outcome"), "may-have-run");
+    assert!(began.elapsed() < Duration::from_millis(1500), "took {:?}", began.elapsed());
+}
+
+/// Guards against targets that keep working for callers that have gone.
+#[actix_web::test]
+async fn cancellation_reaches_target() {
+    let (target, mut log) = start_target();
+    let (near, far) = start_pair(target);
+    for node in [&near, &far] {
+        let mut caller = TcpStream::connect(node.callers).await.expect("connection");
+        let request = b"GET /sheets?hang HTTP/1.1\r\nhost: x\r\n\r\n";
+        caller.write_all(request).await.expect("request");
+        assert_eq!(timeout(WAIT, log.recv()).await.expect("in time"), Some("started"));
+        drop(caller);
+        assert_eq!(timeout(WAIT, log.recv()).await.expect("in time"), Some("dropped"));
+    }
+}
+
+/// A target that answers each request with fixed bytes and closes the connection; counts requests.
+fn start_raw_target(answer: &'static str) -> (SocketAddr, Arc<Mutex<usize>>) {
+    let (listener, addr) = listen();
+    listener.set_nonblocking(true).expect("listener");
+    let listener = tokio::net::TcpListener::from_std(listener).expect("listener");
+    let requests = Arc::new(Mutex::new(0));
+    let count = requests.clone();
+    actix_rt::spawn(async move {
+        while let Ok((mut io, _)) = listener.accept().await {
+            let mut buf = [0; 1024];
+            if io.read(&mut buf).await.is_ok_and(|n| n > 0) {
+                *count.lock().expect("count") += 1;
+            }
+            let _ = io.write_all(answer.as_bytes()).await;
+        }
+    });
+    (addr, requests)
+}
+
+/// Guards against a cut answer that looks whole to the caller.
+#[actix_web::test]
+async fn cut_answer_breaks() {
+    for answer in [
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nfirst",
+    ] {
+        let (target, _requests) = start_raw_target(answer);
+        let (near, far) = start_pair(target);
+        for node in [&near, &far] {
+            let mut caller = TcpStream::connect(node.callers).await.expect("connection");
+            let request = b"GET /sheets HTTP/1.1\r\nhost: x\r\n\r\n";
+            caller.write_all(request).await.expect("request");
+            let mut got = Vec::new();
+            // A reset counts as broken as well.
+            let _ = timeout(WAIT, caller.read_to_end(&mut got)).await.expect("connection closed");
+            let got = String::from_utf8_lossy(&got);
+            assert!(!got.ends_with("0\r\n\r\n"), "whole answer: {got}");
+            assert!(!got.contains("content-length: 5"), "whole answer: {got}");
+        }
+    }
+}
+
+/// Guards against a booking that is sent again, or reported as not run, after its target died.
+#[actix_web::test]
+async fn killed_target_may_have_run() {
+    let (target, requests) = start_raw_target("");
+    let (near, far) = start_pair(target);
+    for node in [&near, &far] {
+        let request = client().post(node.url("/book")).insert_header(("idempotency-key", "k1"));
+        let response = request.send_body("order").await.expect("answer");
+        assert_eq!(response.status(), 503);
+        assert_eq!(response.headers().get("x-ibis-outcome").expect("outcome"), "may-have-run");
+        assert_eq!(node.released_claims(), 0);
+    }
+    assert_eq!(*requests.lock().expect("count"), 2);
+}
+
+/// Guards against a lost claim when nothing reached the target, and a booking without a key.
+#[actix_web::test]
+async fn unreachable_target_not_run() {
+    let (listener, target) = listen();
+    drop(listener);
+    let (near, _far) = start_pair(target);
+    let request = client().post(near.url("/book")).insert_header(("idempotency-key", "k1"));
+    let response = request.send_body("order").await.expect("answer");
+    assert_eq!(response.status(), 503);
+    assert_eq!(response.headers().get("x-ibis-outcome").expect("outcome"), "not-run");
+    let wait = async {
+        while near.released_claims() == 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(WAIT, wait).await.expect("claim released");
+    let response = client().post(near.url("/book")).send_body("order").await.expect("answer");
+    assert_eq!(response.status(), 400);
+}
+
+/// Guards against calls that are lost on a peer connection that went silent.
+#[actix_web::test]
+async fn silent_peer_replaced() {
+    let (target, _log) = start_target();
+    let (near, far) = start_pair(target);
+    let (silent, silent_addr) = listen();
+    near.set_endpoints(&[("t0", silent_addr), ("t1", far.peers)]);
+    for _ in 0..6 {
+        let request =
+            client().get(near.url("/sheets")).insert_header(("x-ibis-deadline-ms", "4000"));
+        let response = request.send().await.expect("answer");
+        assert_eq!(response.status(), 200);
+    }
+    drop(silent);
+}
+
+/// Guards against a graceful stop that cuts calls in flight.
+#[actix_web::test]
+async fn drain_finishes_calls() {
+    let (target, mut log) = start_target();
+    let (near, far) = start_pair(target);
+    let url = near.url("/sheets?hang");
+    let call = actix_rt::spawn(async move {
+        let request = client().get(url).insert_header(("x-ibis-deadline-ms", "500"));
+        request.send().await.map(|r| r.status().as_u16()).map_err(|e| e.to_string())
+    });
+    assert_eq!(timeout(WAIT, log.recv()).await.expect("in time"), Some("started"));
+    let (near_drained, far_drained) =
+        tokio::join!(near.threads.drain(Millis(5_000)), far.threads.drain(Millis(5_000)));
+    assert!(near_drained && far_drained, "near {near_drained}, far {far_drained}");
+    // The call got its own answer, in this case about its deadline.
+    let status = timeout(WAIT, call).await.expect("in time").expect("task").expect("answer");
+    assert!(status == 503 || status == 504, "{status}");
+    timeout(WAIT, near.threads.stop()).await.expect("stopped");
+    timeout(WAIT, far.threads.stop()).await.expect("stopped");
+}
+
+/// Guards against a peer server that dies from malformed input.
+#[actix_web::test]
+async fn malformed_peer_input() {
+    let (target, _log) = start_target();
+    let (_near, far) = start_pair(target);
+    for (path, body) in [
+        ("/call", vec![255; 16]),
+        ("/call", vec![3, 0, 0, 0, 255, 255, 255]),
+        ("/control", vec![255; 16]),
+        ("/other", vec![]),
+    ] {
+        let io = TcpStream::connect(far.peers).await.expect("connection");
+        let (mut sender, connection) = h2::client::handshake(io).await.expect("handshake");
+        actix_rt::spawn(async move { drop(connection.await) });
+        let request = http::Request::post(format!("http://peer{path}")).body(()).expect("request");
+        let (response, mut stream) = sender.send_request(request, false).expect("stream");
+        stream.send_data(Bytes::from(body), true).expect("body");
+        let response = timeout(WAIT, response).await.expect("in time").expect("response");
+        assert!(response.status().is_client_error(), "{path}: {}", response.status());
+    }
+    let peers = PeerClient::new(PeerSettings::default());
+    let reply = peers.request(far.peers, ControlRequest::FetchHead, Millis(5_000)).await;
+    assert_eq!(reply, Ok(ControlReply::Unknown));
+}
