Report the node's state to operators; first test of the whole path

Cause: the admin interface needs the state of several actors, and nothing checked a call through real processes. Change: node/status.rs builds the status report; tests/whole_path.rs starts four nodes with targets and sends calls of all four classes.

--- a/crates/ibisroute/src/node/admin.rs
+++ b/crates/ibisroute/src/node/admin.rs
@@ -23,18 +23,20 @@
 use super::handle::LeaveReply;
 use super::handle::TargetAnnouncement;
 use super::run::NodeContext;
+use super::status::node_state;
+use super::status::status_report;
 use super::targets::QueryTargets;
-use crate::ctl::admin_model::EventsAnswer;
-use crate::ctl::admin_model::MembersAnswer;
-use crate::ctl::admin_model::MovesAnswer;
+use crate::ctl::admin_model::EventsReport;
+use crate::ctl::admin_model::MembersReport;
 use crate::ctl::admin_model::NodeState;
-use crate::ctl::admin_model::StatusAnswer;
+use crate::ctl::admin_model::StatusReport;
 use crate::distribution::actor::QueryDistribution;
 use crate::events;
 use crate::membership::actor::QueryMembers;
 use crate::moves::actor::QueryMoves;
 use crate::report::actor::BurnActor;
 use crate::report::actor::QueryBurn;
+use crate::traffic::DispatchHandle;
 use crate::types::InstanceId;
 use crate::types::Millis;
 
@@ -53,6 +55,8 @@
     pub actors: ControlActors,
     /// The burn report.
     pub burn: Addr<BurnActor>,
+    /// The dispatch thread.
+    pub dispatch: DispatchHandle,
 }
 
 /// The running servers.
@@ -149,25 +153,18 @@
 }
 
 impl Admin {
-    fn state(&self) -> NodeState {
-        let snapshot = self.cx.snapshot.load();
-        if snapshot.draining {
-            return NodeState::Draining;
-        }
-        if snapshot.config.is_none() { NodeState::Starting } else { NodeState::Serving }
-    }
-
-    async fn status(&self) -> Result<StatusAnswer, actix::MailboxError> {
+    async fn status(&self) -> Result<StatusReport, actix::MailboxError> {
         let distribution = self.actors.distribution.send(QueryDistribution).await?;
         let members = self.actors.membership.send(QueryMembers).await?;
         let targets = self.actors.targets.send(QueryTargets).await?;
-        Ok(StatusAnswer::new(&self.cx, self.state(), &distribution, &members, &targets))
+        let loads = self.dispatch.loads().await;
+        Ok(status_report(&self.cx, &distribution, &members, &targets, &loads))
     }
 }
 
 async fn status(admin: web::Data<Admin>) -> HttpResponse {
     match admin.status().await {
-        Ok(answer) => HttpResponse::Ok().json(answer),
+        Ok(report) => HttpResponse::Ok().json(report),
         Err(e) => ended(e),
     }
 }
@@ -175,7 +172,7 @@
 async fn members(admin: web::Data<Admin>) -> HttpResponse {
     match admin.actors.membership.send(QueryMembers).await {
         Ok(view) => {
-            HttpResponse::Ok().json(MembersAnswer { local: view.local, members: view.members })
+            HttpResponse::Ok().json(MembersReport { local: view.local, members: view.members })
         }
         Err(e) => ended(e),
     }
@@ -183,7 +180,7 @@
 
 async fn moves(admin: web::Data<Admin>) -> HttpResponse {
     match admin.actors.moves.send(QueryMoves).await {
-        Ok(moves) => HttpResponse::Ok().json(MovesAnswer { moves }),
+        Ok(moves) => HttpResponse::Ok().json(serde_json::json!({ "moves": moves })),
         Err(e) => ended(e),
     }
 }
@@ -203,11 +200,11 @@
 }
 
 async fn recent_events(query: web::Query<EventsQuery>) -> HttpResponse {
-    HttpResponse::Ok().json(EventsAnswer { events: events::since(query.after) })
+    HttpResponse::Ok().json(EventsReport { events: events::since(query.after) })
 }
 
 async fn ready(admin: web::Data<Admin>) -> HttpResponse {
-    match admin.state() {
+    match node_state(&admin.cx) {
         NodeState::Serving => HttpResponse::Ok().body("serving\n"),
         state => HttpResponse::ServiceUnavailable().body(format!("{state}\n")),
     }
--- a/crates/ibisroute/src/node/mod.rs
+++ b/crates/ibisroute/src/node/mod.rs
@@ -7,5 +7,6 @@
 pub mod logging;
 pub mod messages;
 pub mod run;
+pub mod status;
 pub mod targets;
 pub mod view;
--- a/crates/ibisroute/src/node/run.rs
+++ b/crates/ibisroute/src/node/run.rs
@@ -131,8 +131,12 @@
     })?;
     let parts = Parts::new(&cx, control_socket)?;
     let (actors, view) = start_actors(&cx, &parts, &threads);
-    let burn = actors.burn.clone();
-    let http = admin::Admin { cx: cx.clone(), actors: actors.control.clone(), burn };
+    let http = admin::Admin {
+        cx: cx.clone(),
+        actors: actors.control.clone(),
+        burn: actors.burn.clone(),
+        dispatch: threads.dispatch(),
+    };
     let servers = admin::start(http, admin, targets)?;
     actix::spawn(receive(parts.socket.clone(), &actors.control));
     actix::spawn(actors.control.clone().run(work));
--- /dev/null
+++ b/crates/ibisroute/src/node/status.rs
@@ -0,0 +1,72 @@
+//! What the node tells operators, from the state of its actors.
+
+use std::collections::BTreeMap;
+
+use super::run::NodeContext;
+use crate::ctl::admin_model::MemberCounts;
+use crate::ctl::admin_model::NodeState;
+use crate::ctl::admin_model::RejectedVersion;
+use crate::ctl::admin_model::StatusReport;
+use crate::ctl::admin_model::TargetReport;
+use crate::distribution::state::Status as DistributionStatus;
+use crate::membership::record::MemberView;
+use crate::membership::record::Status;
+use crate::membership::record::TargetRecord;
+use crate::types::InstanceId;
+use crate::wire::LoadWire;
+
+/// State of the node, from the snapshot in effect.
+pub fn node_state(cx: &NodeContext) -> NodeState {
+    let snapshot = cx.snapshot.load();
+    if snapshot.draining {
+        return NodeState::Draining;
+    }
+    if snapshot.config.is_none() { NodeState::Starting } else { NodeState::Serving }
+}
+
+/// Answer of `GET /status`.
+pub fn status_report(
+    cx: &NodeContext,
+    distribution: &DistributionStatus,
+    members: &MemberView,
+    targets: &[TargetRecord],
+    loads: &BTreeMap<InstanceId, LoadWire>,
+) -> StatusReport {
+    let in_effect = cx.snapshot.load().config.as_ref().map(|c| c.head);
+    StatusReport {
+        node: cx.settings.node.clone(),
+        data_centre: cx.settings.data_centre.clone(),
+        region: cx.settings.region.clone(),
+        state: node_state(cx),
+        version: in_effect.unwrap_or_default().version,
+        digest: in_effect.map(|h| h.digest),
+        head_version: distribution.seen.version,
+        rejected: distribution.rejected.as_ref().map(|(head, reason)| RejectedVersion {
+            version: head.version,
+            reason: reason.clone(),
+        }),
+        members: member_counts(members),
+        targets: targets.iter().map(|t| target_report(t, loads)).collect(),
+    }
+}
+
+fn member_counts(members: &MemberView) -> MemberCounts {
+    let count = |status| members.members.iter().filter(|m| m.status == status).count();
+    MemberCounts {
+        alive: count(Status::Alive),
+        suspect: count(Status::Suspect),
+        dead: count(Status::Dead),
+        left: count(Status::Left),
+    }
+}
+
+fn target_report(target: &TargetRecord, loads: &BTreeMap<InstanceId, LoadWire>) -> TargetReport {
+    TargetReport {
+        instance: target.instance.clone(),
+        service: target.service.clone(),
+        version: target.version.clone(),
+        state: target.state,
+        slots: target.slots,
+        in_flight: loads.get(&target.instance).map_or(0, |l| l.in_flight),
+    }
+}
--- a/crates/ibisroute/src/traffic/dispatch.rs
+++ b/crates/ibisroute/src/traffic/dispatch.rs
@@ -71,6 +71,7 @@
     Drain(InstanceId),
     Remove(InstanceId),
     DrainAll,
+    Loads(oneshot::Sender<BTreeMap<InstanceId, LoadWire>>),
     Idle(oneshot::Sender<()>),
     Stop,
 }
@@ -97,6 +98,13 @@
         self.send(DispatchWork::Remove(instance));
     }
 
+    /// Loads of the targets beside this node; empty when the thread has ended.
+    pub async fn loads(&self) -> BTreeMap<InstanceId, LoadWire> {
+        let (reply, rx) = oneshot::channel();
+        self.send(DispatchWork::Loads(reply));
+        rx.await.unwrap_or_default()
+    }
+
     /// Sends a call to a target beside this node; `false` when the thread has ended.
     pub(super) fn call(&self, job: CallJob) -> bool {
         self.tx.send(DispatchWork::Call(job)).is_ok()
@@ -211,6 +219,13 @@
                     let instances: Vec<SmolStr> = self.targets.borrow().keys().cloned().collect();
                     instances.iter().for_each(|i| self.drain(i, false));
                 }
+                DispatchWork::Loads(reply) => {
+                    let targets = self.targets.borrow();
+                    let loads = targets.values();
+                    let loads = loads.map(|t| (t.local.instance.clone(), t.admission.load()));
+                    // The waiter may have given up.
+                    let _ = reply.send(loads.collect());
+                }
                 DispatchWork::Idle(reply) => {
                     let dispatcher = self.clone();
                     actix_rt::spawn(async move {
--- /dev/null
+++ b/crates/ibisroute/tests/common/cluster.rs
@@ -0,0 +1,131 @@
+//! A small cluster of real node processes for integration tests.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use standins::caller::CallSpec;
+use standins::caller::CallerOptions;
+use standins::caller::Class;
+use standins::harness::Builder;
+use standins::harness::Cluster;
+use standins::target::TargetOptions;
+
+/// Bound for things that take well under a second when all is well.
+pub(crate) const SOON: Duration = Duration::from_secs(10);
+
+/// Stated bound for a configuration to be in effect everywhere, and for a restarted node to serve.
+pub(crate) const CONVERGENCE_BOUND: Duration = Duration::from_secs(3);
+
+/// A cluster builder with the binaries under test.
+pub(crate) fn builder() -> Builder {
+    Cluster::builder(env!("CARGO_BIN_EXE_ibisrouted")).ibisctl(env!("CARGO_BIN_EXE_ibisctl"))
+}
+
+fn limits(deadline_ms: u64, max_body_bytes: u64) -> Value {
+    json!({"rate_per_s": 5000, "concurrency": 512, "deadline_ms": deadline_ms, "retry_percent": 10,
+           "max_body_bytes": max_body_bytes})
+}
+
+fn entry(name: &str, class: &str, service: &str, path: &str, method: &str) -> Value {
+    let (deadline_ms, max_body) = match class {
+        "upload" => (20_000, 128 << 20),
+        _ => (2000, 65_536),
+    };
+    json!({"name": name, "owner": "desk@kuiseb.example", "class": class, "service": service,
+           "path": path, "methods": [method], "limits": limits(deadline_ms, max_body),
+           "objective": {"success_percent": 99.0, "latency_ms": 250}})
+}
+
+/// A catalogue with two services and all four classes.
+pub(crate) fn catalogue() -> Value {
+    json!({
+        "format": 1,
+        "name": "kuiseb-test",
+        "services": [
+            {"name": "counter", "owner": "desk@kuiseb.example", "version": "v1",
+             "report_url": null, "withdrawal": "balanced"},
+            {"name": "plateroom", "owner": "plates@kuiseb.example", "version": "v1",
+             "report_url": null, "withdrawal": "balanced"}
+        ],
+        "entries": [
+            entry("sheet-search", "counter_query", "counter", "/counter/sheets", "GET"),
+            entry("print-order", "booking", "counter", "/counter/orders", "POST"),
+            entry("plate-scan", "upload", "plateroom", "/plateroom/scans", "PUT"),
+            entry("plate-availability", "internal_query", "plateroom", "/plateroom/plates", "GET")
+        ],
+        "moves": []
+    })
+}
+
+/// Calls of all four classes to [`catalogue`].
+pub(crate) fn all_calls() -> Vec<CallSpec> {
+    let call = |class, method: &str, path: &str, body_bytes, weight| CallSpec {
+        class,
+        method: method.to_string(),
+        path: path.to_string(),
+        body_bytes,
+        weight,
+        deadline_ms: 2000,
+        ..CallSpec::default()
+    };
+    vec![
+        call(Class::CounterQuery, "GET", "/counter/sheets", 0, 6),
+        call(Class::Booking, "POST", "/counter/orders", 200, 2),
+        call(Class::Upload, "PUT", "/plateroom/scans", 40_000, 1),
+        call(Class::InternalQuery, "GET", "/plateroom/plates", 0, 3),
+    ]
+}
+
+/// Caller options for [`all_calls`] on every node of the cluster.
+pub(crate) fn mixed_calls(cluster: &Cluster) -> CallerOptions {
+    CallerOptions {
+        nodes: cluster.callers(),
+        calls: all_calls(),
+        keep_log: true,
+        ..CallerOptions::default()
+    }
+}
+
+/// Starts a target of each service beside each node: even nodes get counter, odd ones plateroom;
+/// waits until every node knows them all and serves the catalogue.
+pub(crate) fn start_serving(cluster: &mut Cluster) -> u64 {
+    start_targets(cluster);
+    let version = cluster.apply(&catalogue()).expect("the catalogue is applied");
+    cluster.wait_ready(SOON).expect("all nodes serve");
+    cluster.wait_version(version, SOON).expect("the version is in effect");
+    version
+}
+
+/// Starts a target beside each node: even nodes get counter, odd ones plateroom, and waits until each
+/// node counts all targets as ready.
+pub(crate) fn start_targets(cluster: &mut Cluster) {
+    let count = cluster.nodes().len();
+    for node in 0..count {
+        let service = if node % 2 == 0 { "counter" } else { "plateroom" };
+        let options = TargetOptions {
+            service: service.to_string(),
+            instance: format!("{service}-{node}"),
+            ..TargetOptions::default()
+        };
+        cluster.start_target(node, options).expect("a target starts");
+    }
+    wait_ready_targets(cluster, count);
+}
+
+/// Waits until every node sees `count` targets in state ready.
+pub(crate) fn wait_ready_targets(cluster: &Cluster, count: usize) {
+    cluster
+        .wait_all("ready targets", SOON, |node| ready_targets(node) >= count)
+        .expect("targets become ready");
+}
+
+fn ready_targets(node: &standins::harness::Node) -> usize {
+    let Some(answer) = node.admin("/members") else { return 0 };
+    let Ok(view) = serde_json::from_slice::<Value>(&answer.body) else { return 0 };
+    let members = view["members"].as_array().cloned().unwrap_or_default();
+    let targets = members.iter().filter(|m| m["status"] == "Alive").flat_map(|m| {
+        m["targets"].as_array().cloned().unwrap_or_default()
+    });
+    targets.filter(|t| t["state"] == "Ready").count()
+}
--- a/crates/ibisroute/tests/common/mod.rs
+++ b/crates/ibisroute/tests/common/mod.rs
@@ -1,4 +1,7 @@
-//! Helpers that several test files share.
+//! Helpers that several test files share; each file uses some of them.
+#![allow(dead_code, reason = "no test file uses all helpers")]
+
+pub(crate) mod cluster;
 
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
--- a/crates/ibisroute/tests/traffic_calls.rs
+++ b/crates/ibisroute/tests/traffic_calls.rs
@@ -204,7 +204,10 @@
             std::future::pending().await
         }
         _ => HttpResponse::Ok()
-            .insert_header(("x-seen-depth", req.headers().get("x-ibis-depth").expect("depth").clone()))
+            .insert_header((
+                "x-seen-depth",
+                req.headers().get("x-ibis-depth").expect("depth").clone(),
+            ))
             .body("sheet list"),
     }
 }
--- /dev/null
+++ b/crates/ibisroute/tests/whole_path.rs
@@ -0,0 +1,28 @@
+//! Calls of all four classes through real processes.
+
+mod common;
+
+use common::cluster;
+use standins::caller::CallerOptions;
+use standins::caller::CallerStandin;
+use standins::caller::broken_promises;
+
+/// Guards against any break of the path from the caller over two nodes to a target: every call of
+/// every class gets its own whole answer.
+#[test]
+fn all_classes_served() {
+    let mut cluster = cluster::builder()
+        .data_centre("erongo-1", "erongo", 2)
+        .data_centre("erongo-2", "erongo", 2)
+        .start()
+        .expect("nodes start");
+    cluster::start_serving(&mut cluster);
+    let options = CallerOptions { max_calls: Some(600), ..cluster::mixed_calls(&cluster) };
+    let summary = CallerStandin::run(options).expect("the caller runs");
+    let records: Vec<_> = cluster.targets().flat_map(|(_, t)| t.records()).collect();
+    let broken = broken_promises(&summary.log, &records);
+    assert!(broken.is_empty(), "{broken:#?}");
+    let total = summary.total();
+    assert_eq!(total.failed(), 0, "{}", summary.to_json());
+    assert_eq!(summary.classes.len(), 4, "{}", summary.to_json());
+}
