Test membership and distribution over a virtual network

Cause: both state machines had no tests. Change: property tests over 3 to 12 state machines with lost, duplicated and late messages, pauses, restarts and outages; tests of the actors over loopback sockets. They found two faults, fixed here: a peer that remembered an older record of a node as dead was never told the newer one, and the first datagrams of a socket were dropped until the runtime had polled it.

--- a/crates/ibisroute/src/membership/state.rs
+++ b/crates/ibisroute/src/membership/state.rs
@@ -28,6 +28,7 @@
 use crate::wire::MemberDatagram;
 use crate::wire::MemberRecordWire;
 use crate::wire::ProbeKind;
+use crate::wire::StatusWire;
 
 /// Bytes that a length prefix can grow by when updates are added to a datagram.
 const LENGTH_PREFIX_BYTES: usize = 4;
@@ -417,6 +418,12 @@
         if from == self.local.node {
             return;
         }
+        let before = (self.local.incarnation, self.local.revision);
+        let own = self.local.node.as_str();
+        // The sender remembers an older record of this node, perhaps as dead.
+        let stale_claim = datagram.updates.iter().any(|u| {
+            u.node == own && ((u.incarnation, u.revision) < before || u.status != StatusWire::Alive)
+        });
         for update in datagram.updates {
             self.take_update(now, update);
         }
@@ -426,9 +433,9 @@
         let outdated = self.members.get(&from).is_some_and(|m| {
             !m.record.is_live()
                 || m.record.status == Status::Suspect
-                || m.record.incarnation > datagram.incarnation
+                || m.record.incarnation != datagram.incarnation
         });
-        let tell = outdated || !self.members.contains_key(&from);
+        let tell = outdated || stale_claim || !self.members.contains_key(&from);
         match datagram.kind {
             ProbeKind::Ping { sequence } => {
                 let node = self.local.node.clone().into();
@@ -445,10 +452,13 @@
             }
             ProbeKind::Ack { sequence, node } => {
                 self.receive_ack(sequence, &node);
-                if outdated {
+                if outdated || stale_claim {
                     self.send(datagram.from_addr, Some(&from), ProbeKind::Update, true);
                 }
             }
+            ProbeKind::Update if stale_claim => {
+                self.send(datagram.from_addr, Some(&from), ProbeKind::Update, true);
+            }
             ProbeKind::Update => {}
         }
     }
--- a/crates/ibisroute/src/peers/datagram.rs
+++ b/crates/ibisroute/src/peers/datagram.rs
@@ -43,19 +43,22 @@
 /// Sends and receives control datagrams; never blocks.
 #[derive(Debug)]
 pub struct ControlSocket {
-    socket: UdpSocket,
+    /// Sends directly: the runtime refuses to send until it has polled the socket for the first
+    /// time.
+    sender: StdUdpSocket,
+    receiver: UdpSocket,
 }
 
 impl ControlSocket {
     /// Takes over a bound socket. Must be called within a tokio runtime.
     pub fn new(socket: StdUdpSocket) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
-        Ok(Self { socket: UdpSocket::from_std(socket)? })
+        Ok(Self { sender: socket.try_clone()?, receiver: UdpSocket::from_std(socket)? })
     }
 
     /// The bound address.
     pub fn local_addr(&self) -> io::Result<SocketAddr> {
-        self.socket.local_addr()
+        self.sender.local_addr()
     }
 
     /// Sends a datagram, or drops it when it is too long or the socket is not ready.
@@ -65,7 +68,7 @@
             counter!("ibis_control_datagrams_dropped_total", "kind" => kind).increment(1);
             return;
         };
-        if self.socket.try_send_to(&buf, to).is_err() {
+        if self.sender.send_to(&buf, to).is_err() {
             counter!("ibis_control_datagrams_dropped_total", "kind" => kind).increment(1);
             return;
         }
@@ -78,7 +81,7 @@
         let mut buf = vec![0; RECEIVE_BYTES];
         loop {
             // An ICMP error for an earlier datagram shows up here; the socket stays usable.
-            let Ok((bytes, from)) = self.socket.recv_from(&mut buf).await else {
+            let Ok((bytes, from)) = self.receiver.recv_from(&mut buf).await else {
                 tokio::task::yield_now().await;
                 continue;
             };
--- /dev/null
+++ b/crates/ibisroute/tests/config_versions.rs
@@ -0,0 +1,186 @@
+//! Distribution under lost, duplicated and delayed messages, pauses, restarts and outages.
+
+#[path = "support/config_net.rs"]
+#[allow(dead_code)]
+mod config_net;
+
+use config_net::Net;
+use ibisroute::distribution::state::Event;
+use ibisroute::types::Digest;
+use ibisroute::types::Head;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::TestResult;
+use rand::Rng;
+
+/// Runs a property for seeds that are the same in each run; quickcheck prints the failing seed.
+fn check(tests: u64, property: fn(u64) -> TestResult) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(50, 5)).tests(tests).quickcheck(property);
+}
+
+fn fleet(seed: u64, loss: f64) -> Net {
+    Net::new(seed, 3 + (seed % 10) as usize, loss)
+}
+
+fn verdict(net: &Net, seed: u64, what: &str, ok: bool) -> TestResult {
+    let count = net.nodes.len();
+    if let Some(broken) = net.broken.first() {
+        return TestResult::error(format!("seed {seed}, {count} nodes: {broken}"));
+    }
+    if ok {
+        return TestResult::passed();
+    }
+    let applied: Vec<_> =
+        net.nodes.iter().map(|n| n.as_ref().and_then(|n| n.applied).map(|h| h.version.0)).collect();
+    let at = net.now;
+    TestResult::error(format!("seed {seed}, {count} nodes, at {at}: {what}; applied {applied:?}"))
+}
+
+/// Guards against a node that is late or never gets an accepted version (P10: within 3 s).
+#[test]
+fn accepted_head_converges() {
+    fn property(seed: u64) -> TestResult {
+        let mut net = fleet(seed, (seed % 21) as f64 / 100.0);
+        net.publish(true);
+        net.run(3_000);
+        for _ in 0..5 {
+            let head = net.publish(true);
+            net.run(3_000);
+            if !net.all_serve(head) {
+                return verdict(&net, seed, "a node is late", false);
+            }
+        }
+        verdict(&net, seed, "", true)
+    }
+    check(60, property);
+}
+
+/// Guards against a fleet that does not serve within 3 s of a mass restart, also while the platform
+/// is slow.
+#[test]
+fn mass_restart_converges() {
+    fn property(seed: u64) -> TestResult {
+        let mut net = fleet(seed, 0.1);
+        let head = net.publish(true);
+        net.run(3_000);
+        net.platform.latency_ms = [5, 1_000][(seed % 2) as usize];
+        for index in 0..net.nodes.len() {
+            net.stop(index);
+            net.start(index);
+        }
+        net.run(3_000);
+        let ok = net.all_serve(head);
+        verdict(&net, seed, "a restarted node does not serve", ok)
+    }
+    check(60, property);
+}
+
+/// Guards against a restarted node that waits for a table that is down, although peers know the
+/// floor.
+#[test]
+fn restart_without_table() {
+    fn property(seed: u64) -> TestResult {
+        let mut net = fleet(seed, 0.1);
+        let head = net.publish(true);
+        net.run(5_000);
+        net.platform.down = true;
+        net.stop(0);
+        net.run(500);
+        net.start(0);
+        net.run(3_000);
+        let ok = net.all_serve(head);
+        verdict(&net, seed, "the restarted node does not serve", ok)
+    }
+    check(60, property);
+}
+
+/// Guards against a version that goes down at a node, over restarts, stale peers and outages (P1).
+/// The nodes that were paused come back with an old head, and greet those that restart.
+#[test]
+fn versions_never_fall() {
+    fn property(seed: u64) -> TestResult {
+        let mut net = fleet(seed, 0.2);
+        net.publish(true);
+        net.run(3_000);
+        for _ in 0..30 {
+            let node = net.rng.random_range(0..net.nodes.len());
+            match net.rng.random_range(0..8) {
+                0 => net.pause(node, true),
+                1 => (0..net.nodes.len()).for_each(|i| net.pause(i, false)),
+                2 | 3 => {
+                    net.stop(node);
+                    net.run(500);
+                    (0..net.nodes.len()).for_each(|i| net.pause(i, false));
+                    net.start(node);
+                }
+                4 => net.platform.down = !net.platform.down,
+                5 => net.platform.latency_ms = [5, 300, 2_000][net.rng.random_range(0..3)],
+                _ => {
+                    let good = net.rng.random_bool(0.8);
+                    net.publish(good);
+                }
+            }
+            let ms = net.rng.random_range(10..3_000);
+            net.run(ms);
+        }
+        net.platform.down = false;
+        net.platform.latency_ms = 5;
+        (0..net.nodes.len()).for_each(|i| net.pause(i, false));
+        let head = net.publish(true);
+        net.run(5_000);
+        let ok = net.all_serve(head);
+        verdict(&net, seed, "the last version is not everywhere", ok)
+    }
+    check(60, property);
+}
+
+/// Guards against a bad version that is applied, whole or in part, and that keeps the next good one
+/// out (P3). Bodies of peers are damaged at times.
+#[test]
+fn bad_version_is_rejected() {
+    fn property(seed: u64) -> TestResult {
+        let mut net = fleet(seed, 0.1);
+        net.damage = 0.3;
+        let good = net.publish(true);
+        net.run(3_000);
+        let bad = net.publish(false);
+        net.run(3_000);
+        if !net.all_serve(good) {
+            return verdict(&net, seed, "the version before is not in effect", false);
+        }
+        let told =
+            net.nodes.iter().flatten().all(|n| {
+                n.state.status().rejected.is_some_and(|(h, why)| h == bad && !why.is_empty())
+            });
+        if !told {
+            return verdict(&net, seed, "the rejected version is not reported", false);
+        }
+        // A restarted node finds the bad version in the table, and serves the one before.
+        net.stop(0);
+        net.start(0);
+        net.run(5_000);
+        if !net.all_serve(good) {
+            return verdict(&net, seed, "a restarted node does not serve the one before", false);
+        }
+        let next = net.publish(true);
+        net.run(4_000);
+        let ok = net.all_serve(next);
+        verdict(&net, seed, "the next version is not in effect", ok)
+    }
+    check(40, property);
+}
+
+/// Guards against two catalogues under one version: the second digest is ignored.
+#[test]
+fn other_digest_is_ignored() {
+    let mut net = Net::new(3, 3, 0.0);
+    let head = net.publish(true);
+    net.run(3_000);
+    let other = Head { digest: Digest::of(b"other"), ..head };
+    net.event(0, Event::PeerHead { head: other, peer_addr: None });
+    net.run(3_000);
+    assert!(net.all_serve(head), "seed 3: the head in effect was replaced");
+    let next = net.publish(true);
+    net.run(3_000);
+    assert!(net.all_serve(next), "seed 3: a higher version was not accepted afterwards");
+}
--- /dev/null
+++ b/crates/ibisroute/tests/control_datagrams.rs
@@ -0,0 +1,84 @@
+//! The UDP control socket.
+
+use std::net::UdpSocket;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::Actor;
+use actix::Context;
+use actix::Handler;
+use ibisroute::node::messages::DatagramReceived;
+use ibisroute::peers::datagram::ControlSocket;
+use ibisroute::peers::datagram::DatagramRoutes;
+use ibisroute::types::Head;
+use ibisroute::wire::Datagram;
+use ibisroute::wire::HeadNotice;
+use ibisroute::wire::MAX_DATAGRAM_BYTES;
+use ibisroute::wire::MoveStateWire;
+use tokio::sync::mpsc;
+
+const WAIT: Duration = Duration::from_secs(10);
+
+/// Passes datagrams on with the name of their route.
+struct Probe {
+    route: &'static str,
+    tx: mpsc::UnboundedSender<(&'static str, Datagram)>,
+}
+
+impl Actor for Probe {
+    type Context = Context<Self>;
+}
+
+impl Handler<DatagramReceived> for Probe {
+    type Result = ();
+
+    fn handle(&mut self, msg: DatagramReceived, _: &mut Self::Context) {
+        let _ = self.tx.send((self.route, msg.datagram));
+    }
+}
+
+fn socket() -> Rc<ControlSocket> {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("loopback socket");
+    Rc::new(ControlSocket::new(socket).expect("control socket"))
+}
+
+/// Guards against a malformed or oversized datagram that stops the receive loop, and against a
+/// datagram that reaches the wrong actor.
+#[actix_rt::test]
+async fn malformed_datagrams_are_ignored() {
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    let probe = |route| Probe { route, tx: tx.clone() }.start().recipient();
+    let routes = DatagramRoutes {
+        membership: probe("membership"),
+        distribution: probe("distribution"),
+        moves: probe("moves"),
+    };
+    let receiver = socket();
+    let to = receiver.local_addr().expect("bound address");
+    let receiving = receiver.clone();
+    actix::spawn(async move { receiving.receive(routes).await });
+    let raw = UdpSocket::bind("127.0.0.1:0").expect("loopback socket");
+    for buf in [&[][..], &[255; 40], &[0; MAX_DATAGRAM_BYTES + 1], &[1, 2, 3]] {
+        raw.send_to(buf, to).expect("sent");
+    }
+    let sender = socket();
+    let from = sender.local_addr().expect("bound address");
+    let notice =
+        HeadNotice { head: Head::default(), from: "a".into(), peer_addr: from, control_addr: from };
+    let notice = Datagram::HeadNotice(notice);
+    sender.send(to, &notice);
+    let got = tokio::time::timeout(WAIT, rx.recv()).await.expect("datagram in time");
+    assert_eq!(got, Some(("distribution", notice)));
+    let state = MoveStateWire {
+        id: "m".into(),
+        stage: 1,
+        finished: false,
+        withdrawn: false,
+        reason: "".into(),
+    };
+    sender.send(to, &Datagram::MoveNotice(vec![state.clone(); 300]));
+    let small = Datagram::MoveNotice(vec![state]);
+    sender.send(to, &small);
+    let got = tokio::time::timeout(WAIT, rx.recv()).await.expect("datagram in time");
+    assert_eq!(got, Some(("moves", small)), "the oversized datagram was dropped at the sender");
+}
--- /dev/null
+++ b/crates/ibisroute/tests/local_targets.rs
@@ -0,0 +1,152 @@
+//! Life cycle and leases of the targets beside a node.
+
+use std::collections::BTreeMap;
+
+use ibisroute::membership::membership_settings::MembershipSettings;
+use ibisroute::membership::record::TargetState;
+use ibisroute::membership::target::LocalTargetTable;
+use ibisroute::membership::target::TargetAction;
+use ibisroute::membership::target::TargetEvent;
+use ibisroute::node::handle::TargetAnnouncement;
+use ibisroute::types::InstanceId;
+use ibisroute::types::Millis;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::TestResult;
+
+fn instance(n: u8) -> InstanceId {
+    format!("run-{n}").parse().expect("instance")
+}
+
+fn announce(n: u8) -> TargetEvent {
+    TargetEvent::Announce(TargetAnnouncement {
+        service: "counter".parse().expect("service"),
+        version: "v1".parse().expect("version"),
+        instance: instance(n),
+        address: "127.0.0.1:9000".parse().expect("address"),
+        slots: 10,
+        connections: 120,
+    })
+}
+
+fn table() -> LocalTargetTable {
+    LocalTargetTable::new(MembershipSettings::default())
+}
+
+fn state(table: &LocalTargetTable) -> Option<TargetState> {
+    table.records().first().map(|r| r.state)
+}
+
+/// Keeps the lease of target 1 until `until`, with a tick each second.
+fn keep_alive(table: &mut LocalTargetTable, from: u64, until: u64) {
+    for now in (from..=until).step_by(1_000) {
+        table.step(Millis(now), announce(1));
+        table.step(Millis(now), TargetEvent::Tick);
+    }
+}
+
+/// Guards against full traffic for a target that is not warm yet.
+#[test]
+fn target_warms_up() {
+    let mut table = table();
+    table.step(Millis(0), announce(1));
+    assert_eq!(state(&table), Some(TargetState::Starting));
+    table.step(Millis(100), TargetEvent::Hint { instance: instance(1), healthy: true });
+    assert_eq!(state(&table), Some(TargetState::Warming));
+    keep_alive(&mut table, 1_000, 4_000);
+    assert_eq!(state(&table), Some(TargetState::Ready));
+}
+
+/// Guards against a target that a wrong health endpoint keeps out of service for ever.
+#[test]
+fn silent_health_is_overridden() {
+    let mut table = table();
+    keep_alive(&mut table, 0, 10_000);
+    assert_eq!(state(&table), Some(TargetState::Warming));
+    table.step(Millis(10_500), TargetEvent::Hint { instance: instance(1), healthy: false });
+    assert_eq!(state(&table), Some(TargetState::Warming));
+}
+
+/// Guards against calls to a target that stopped renewing its lease, and against a target that
+/// cannot return after a pause.
+#[test]
+fn lease_expires() {
+    let mut table = table();
+    table.step(Millis(0), announce(1));
+    let actions = table.step(Millis(3_000), TargetEvent::Tick);
+    assert!(actions.contains(&TargetAction::Drain(instance(1))), "{actions:?}");
+    assert_eq!(state(&table), Some(TargetState::Draining));
+    table.step(Millis(4_000), announce(1));
+    assert_eq!(state(&table), Some(TargetState::Starting));
+    table.step(Millis(7_000), TargetEvent::Tick);
+    table.step(Millis(37_000), TargetEvent::Tick);
+    assert_eq!(state(&table), None);
+}
+
+/// Guards against new work for a target that left, even when it goes on announcing itself (P8).
+#[test]
+fn leave_is_final() {
+    let mut table = table();
+    table.step(Millis(0), announce(1));
+    table.step(Millis(100), TargetEvent::Reachable { instance: instance(1), reachable: true });
+    table.step(Millis(200), TargetEvent::Leave(instance(1)));
+    table.step(Millis(300), announce(1));
+    table.step(Millis(300), TargetEvent::Hint { instance: instance(1), healthy: true });
+    assert_eq!(state(&table), Some(TargetState::Draining));
+    let actions = table.step(Millis(400), TargetEvent::Idle(instance(1)));
+    assert!(actions.iter().any(|a| matches!(a, TargetAction::Gone(_))), "{actions:?}");
+    assert_eq!(state(&table), None);
+}
+
+/// Guards against a target that cannot be connected to and still gets calls.
+#[test]
+fn unreachable_target_starts_again() {
+    let mut table = table();
+    table.step(Millis(0), announce(1));
+    table.step(Millis(100), TargetEvent::Reachable { instance: instance(1), reachable: true });
+    table.step(Millis(200), TargetEvent::Reachable { instance: instance(1), reachable: false });
+    assert_eq!(state(&table), Some(TargetState::Starting));
+}
+
+/// Guards against an order of events that brings a target back after it left.
+#[test]
+fn left_targets_stay_out() {
+    fn property(events: Vec<(u8, u8, u16)>) -> TestResult {
+        let mut table = table();
+        let mut left: BTreeMap<InstanceId, bool> = BTreeMap::new();
+        let mut now = 0;
+        for (kind, n, gap) in events {
+            now += u64::from(gap % 2_000);
+            let n = n % 3;
+            let id = instance(n);
+            let event = match kind % 7 {
+                0 | 1 => announce(n),
+                2 => TargetEvent::Leave(id.clone()),
+                3 => TargetEvent::Hint { instance: id.clone(), healthy: true },
+                4 => TargetEvent::Reachable { instance: id.clone(), reachable: gap % 2 == 0 },
+                5 => TargetEvent::Idle(id.clone()),
+                _ => TargetEvent::Tick,
+            };
+            let known = table.get(&id).is_some();
+            if event == TargetEvent::Leave(id.clone()) && known {
+                left.insert(id, true);
+            }
+            for action in table.step(Millis(now), event) {
+                if let TargetAction::Gone(gone) = action {
+                    left.remove(&gone.instance);
+                }
+            }
+            let back = |r: &&ibisroute::membership::record::TargetRecord| {
+                left.contains_key(&r.instance) && r.state != TargetState::Draining
+            };
+            if let Some(record) = table.records().iter().find(back) {
+                return TestResult::error(format!("{record:?} is back at {now}"));
+            }
+        }
+        TestResult::passed()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 3))
+        .tests(500)
+        .quickcheck(property as fn(Vec<(u8, u8, u16)>) -> TestResult);
+}
--- /dev/null
+++ b/crates/ibisroute/tests/member_failures.rs
@@ -0,0 +1,206 @@
+//! Membership under lost, duplicated and delayed datagrams, pauses, restarts and partitions.
+
+#[path = "support/member_net.rs"]
+#[allow(dead_code)]
+mod member_net;
+
+use ibisroute::membership::record::MemberView;
+use ibisroute::membership::record::Status;
+use ibisroute::membership::record::TargetState;
+use ibisroute::membership::state::Event;
+use member_net::Net;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::TestResult;
+use rand::Rng;
+
+/// Runs a property for seeds that are the same in each run; quickcheck prints the failing seed.
+fn check(tests: u64, property: fn(u64) -> TestResult) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(50, 7)).tests(tests).quickcheck(property);
+}
+
+fn fleet(seed: u64, loss: f64) -> Net {
+    Net::settled(seed, 3 + (seed % 10) as usize, loss)
+}
+
+fn ready_targets(view: &MemberView, node: &str) -> usize {
+    let member = view.live().find(|m| m.node.as_str() == node);
+    let targets = member.map(|m| m.targets.as_slice()).unwrap_or_default();
+    targets.iter().filter(|t| t.state == TargetState::Ready).count()
+}
+
+fn verdict(net: &Net, seed: u64, what: &str, ok: bool) -> TestResult {
+    if ok {
+        return TestResult::passed();
+    }
+    TestResult::error(format!("seed {seed}, {} nodes, at {}: {what}", net.nodes.len(), net.now))
+}
+
+/// Guards against a fleet that never learns all its members.
+#[test]
+fn joined_fleet_agrees() {
+    fn property(seed: u64) -> TestResult {
+        let net = fleet(seed, 0.1);
+        verdict(&net, seed, "views differ 10 s after the start", net.agrees())
+    }
+    check(30, property);
+}
+
+/// Guards against new work for a node that has left (P8: none after 3 s).
+#[test]
+fn leaving_node_vanishes() {
+    fn property(seed: u64) -> TestResult {
+        let mut net = fleet(seed, 0.2);
+        net.event(0, Event::Leave);
+        net.run(500);
+        net.stop(0);
+        net.run(2_500);
+        let gone = (1..net.nodes.len())
+            .all(|i| net.view(i).is_some_and(|view| ready_targets(&view, "node-00") == 0));
+        verdict(&net, seed, "a target of the leaving node is still known", gone)
+    }
+    check(40, property);
+}
+
+/// Guards against new work for a target that drains beside a node that stays (P8).
+#[test]
+fn draining_target_vanishes() {
+    fn property(seed: u64) -> TestResult {
+        let mut net = fleet(seed, 0.2);
+        let draining = vec![member_net::target(0, TargetState::Draining)];
+        net.event(0, Event::LocalTargets(draining));
+        net.run(3_000);
+        let gone = (0..net.nodes.len())
+            .all(|i| net.view(i).is_some_and(|view| ready_targets(&view, "node-00") == 0));
+        verdict(&net, seed, "the draining target still counts as ready", gone)
+    }
+    check(40, property);
+}
+
+/// Guards against a resumed process that blames its peers for its own silence.
+#[test]
+fn paused_node_evicts_nobody() {
+    fn property(seed: u64) -> TestResult {
+        let mut net = fleet(seed, 0.1);
+        net.pause(0, true);
+        let pause = net.rng.random_range(1_500..20_000);
+        net.run(pause);
+        net.pause(0, false);
+        // The decision of the resumed node alone, before any peer can answer it.
+        net.event(0, Event::Tick);
+        let view = net.view(0).expect("running node");
+        let evicted = view.members.iter().filter(|m| m.status == Status::Dead).count();
+        if evicted > 0 {
+            return verdict(&net, seed, "the resumed node declared peers dead at once", false);
+        }
+        for _ in 0..50 {
+            net.run(100);
+            let view = net.view(0).expect("running node");
+            if view.members.iter().any(|m| m.status == Status::Dead) {
+                return verdict(&net, seed, "the resumed node declared a peer dead", false);
+            }
+        }
+        net.run(15_000);
+        let ok = net.agrees();
+        verdict(&net, seed, "views differ 20 s after the resume", ok)
+    }
+    check(40, property);
+}
+
+/// Guards against a crashed node that stays in the view, and against records kept for ever.
+#[test]
+fn crashed_node_is_found() {
+    fn property(seed: u64) -> TestResult {
+        let mut net = fleet(seed, 0.1);
+        net.stop(0);
+        net.run(40_000);
+        if !net.agrees() {
+            return verdict(&net, seed, "the crashed node is live 40 s later", false);
+        }
+        net.run(620_000);
+        let dropped = (1..net.nodes.len())
+            .all(|i| net.view(i).is_some_and(|v| v.members.len() == net.nodes.len() - 1));
+        verdict(&net, seed, "the record of the crashed node was kept", dropped)
+    }
+    check(4, property);
+}
+
+/// Guards against a restarted host that stays unknown because it cannot use the table, also when
+/// its clock is behind the one of the run before.
+#[test]
+fn restarted_node_is_found() {
+    fn property(seed: u64) -> TestResult {
+        let mut net = fleet(seed, 0.1);
+        net.stop(0);
+        let down = net.rng.random_range(200..30_000);
+        net.run(down);
+        let incarnation = net.rng.random_range(1..3_000);
+        net.start(0, incarnation);
+        net.run(20_000);
+        let ok = net.agrees();
+        verdict(&net, seed, "the restarted node was not found by its peers", ok)
+    }
+    check(40, property);
+}
+
+/// Guards against a healed partition that stays split.
+#[test]
+fn cut_groups_rejoin() {
+    fn property(seed: u64) -> TestResult {
+        let mut net = fleet(seed, 0.1);
+        let half = net.nodes.len() / 2;
+        (0..half).for_each(|i| net.cut(i, 1));
+        let cut = net.rng.random_range(20_000..120_000);
+        net.run(cut);
+        if (0..half).any(|i| net.view(i).is_some_and(|v| v.live().count() > half)) {
+            return verdict(&net, seed, "the cut was not noticed", false);
+        }
+        (0..half).for_each(|i| net.cut(i, 0));
+        net.run(20_000);
+        let ok = net.agrees();
+        verdict(&net, seed, "the groups did not rejoin", ok)
+    }
+    check(12, property);
+}
+
+/// Guards against any order of failures after which the views stay different.
+#[test]
+fn random_failures_heal() {
+    fn property(seed: u64) -> TestResult {
+        let mut net = fleet(seed, 0.2);
+        for round in 0..20 {
+            let node = net.rng.random_range(0..net.nodes.len());
+            match net.rng.random_range(0..6) {
+                0 => net.pause(node, true),
+                1 => net.pause(node, false),
+                2 => net.stop(node),
+                3 if net.nodes[node].is_none() => {
+                    net.start(node, 1_000 + net.now);
+                    let peer = net.rng.random_range(0..net.nodes.len());
+                    net.join(node, peer);
+                }
+                4 => net.cut(node, round % 2),
+                _ => {
+                    let targets = vec![member_net::target(node, TargetState::Draining)];
+                    net.event(node, Event::LocalTargets(targets));
+                }
+            }
+            let ms = net.rng.random_range(10..4_000);
+            net.run(ms);
+        }
+        for node in 0..net.nodes.len() {
+            net.cut(node, 0);
+            net.pause(node, false);
+            if net.nodes[node].is_none() {
+                net.start(node, 1_000 + net.now);
+                let peer = (node + 1) % net.nodes.len();
+                net.join(node, peer);
+            }
+        }
+        net.loss = 0.05;
+        net.run(60_000);
+        let ok = net.agrees();
+        verdict(&net, seed, "views differ 60 s after the last failure", ok)
+    }
+    check(20, property);
+}
--- /dev/null
+++ b/crates/ibisroute/tests/member_records.rs
@@ -0,0 +1,62 @@
+//! Merging member records: nodes that get the same records in any order must keep the same one.
+
+#[path = "support/member_net.rs"]
+#[allow(dead_code)]
+mod member_net;
+
+use ibisroute::membership::merge::merge;
+use ibisroute::membership::record::MemberRecord;
+use ibisroute::membership::record::Status;
+use ibisroute::membership::record::TargetState;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+#[derive(Clone, Debug)]
+struct AnyRecord(MemberRecord);
+
+impl Arbitrary for AnyRecord {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut record = member_net::record(1, u64::from(u8::arbitrary(g) % 3));
+        record.revision = u64::from(u8::arbitrary(g) % 3);
+        let statuses = [Status::Alive, Status::Suspect, Status::Dead, Status::Left];
+        record.status = *g.choose(&statuses).expect("choices");
+        if bool::arbitrary(g) {
+            record.targets.push(member_net::target(1, TargetState::Ready));
+        }
+        Self(record)
+    }
+}
+
+fn check(property: impl quickcheck::Testable) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(20, 11)).tests(2_000).quickcheck(property);
+}
+
+/// Guards against an order of records that depends on which one arrived first.
+#[test]
+fn merge_commutes() {
+    fn property(a: AnyRecord, b: AnyRecord) -> bool {
+        merge(a.0.clone(), b.0.clone()) == merge(b.0, a.0)
+    }
+    check(property as fn(AnyRecord, AnyRecord) -> bool);
+}
+
+/// Guards against a result that depends on how records were grouped on their way.
+#[test]
+fn merge_associates() {
+    fn property(a: AnyRecord, b: AnyRecord, c: AnyRecord) -> bool {
+        let left = merge(merge(a.0.clone(), b.0.clone()), c.0.clone());
+        left == merge(a.0, merge(b.0, c.0))
+    }
+    check(property as fn(AnyRecord, AnyRecord, AnyRecord) -> bool);
+}
+
+/// Guards against a duplicated datagram that changes a record.
+#[test]
+fn merge_is_idempotent() {
+    fn property(a: AnyRecord, b: AnyRecord) -> bool {
+        let once = merge(a.0, b.0.clone());
+        merge(once.clone(), b.0) == once
+    }
+    check(property as fn(AnyRecord, AnyRecord) -> bool);
+}
--- /dev/null
+++ b/crates/ibisroute/tests/support/config_net.rs
@@ -0,0 +1,346 @@
+//! A small in-memory network of distribution state machines on a virtual clock, with a platform
+//! that can be down or slow.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ibisroute::distribution::distribution_settings::DistributionSettings;
+use ibisroute::distribution::state::Action;
+use ibisroute::distribution::state::Event;
+use ibisroute::distribution::state::FetchError;
+use ibisroute::distribution::state::Peer;
+use ibisroute::distribution::state::Source;
+use ibisroute::distribution::state::State;
+use ibisroute::types::ConfigVersion;
+use ibisroute::types::Digest;
+use ibisroute::types::Head;
+use ibisroute::types::Millis;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const TICK_MS: u64 = 20;
+const PING_MS: u64 = 1_000;
+const CONTROL_PORT: u16 = 10_000;
+const PEER_PORT: u16 = 20_000;
+
+#[derive(Clone)]
+enum Delivery {
+    Event(Event),
+    Ping { from: usize, head: Head },
+    AskFloor { from: usize },
+    AskBody { from: usize, head: Head },
+}
+
+#[derive(Default)]
+pub(crate) struct Platform {
+    pub(crate) down: bool,
+    pub(crate) latency_ms: u64,
+    pub(crate) head: Option<Head>,
+    heads: Vec<Head>,
+    objects: BTreeMap<Digest, Arc<[u8]>>,
+}
+
+pub(crate) struct Node {
+    pub(crate) state: State,
+    compiled: Option<Head>,
+    pub(crate) applied: Option<Head>,
+    bodies: BTreeMap<Head, Arc<[u8]>>,
+    advertised: Head,
+    epoch: u64,
+}
+
+pub(crate) struct Net {
+    pub(crate) now: u64,
+    pub(crate) loss: f64,
+    pub(crate) rng: SmallRng,
+    pub(crate) nodes: Vec<Option<Node>>,
+    paused: Vec<bool>,
+    /// Highest version that the host of each node ever served.
+    served: Vec<ConfigVersion>,
+    pub(crate) platform: Platform,
+    queue: BTreeMap<(u64, u64), (usize, u64, Delivery)>,
+    sent: u64,
+    epochs: u64,
+    seed: u64,
+    /// Promises that were broken, in words.
+    pub(crate) broken: Vec<String>,
+    /// Share of bodies from peers that arrive damaged.
+    pub(crate) damage: f64,
+}
+
+fn control(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], CONTROL_PORT + index as u16))
+}
+
+fn peer(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], PEER_PORT + index as u16))
+}
+
+impl Net {
+    pub(crate) fn new(seed: u64, count: usize, loss: f64) -> Self {
+        let mut net = Self {
+            now: 1_000,
+            loss,
+            rng: SmallRng::seed_from_u64(seed),
+            nodes: Vec::new(),
+            paused: vec![false; count],
+            served: vec![ConfigVersion(0); count],
+            platform: Platform { latency_ms: 5, ..Platform::default() },
+            queue: BTreeMap::new(),
+            sent: 0,
+            epochs: 0,
+            seed,
+            broken: Vec::new(),
+            damage: 0.0,
+        };
+        net.nodes.resize_with(count, || None);
+        for index in 0..count {
+            net.start(index);
+        }
+        net
+    }
+
+    pub(crate) fn start(&mut self, index: usize) {
+        self.epochs += 1;
+        let seed = self.seed ^ (self.epochs << 32);
+        self.nodes[index] = Some(Node {
+            state: State::new(DistributionSettings::default(), seed),
+            compiled: None,
+            applied: None,
+            bodies: BTreeMap::new(),
+            advertised: Head::default(),
+            epoch: self.epochs,
+        });
+        self.paused[index] = false;
+        let peers = (0..self.nodes.len()).filter(|i| *i != index).map(|i| Peer {
+            node: format!("node-{i}").parse().expect("node id"),
+            control_addr: control(i),
+            peer_addr: peer(i),
+        });
+        let peers = peers.collect();
+        self.event(index, Event::Peers(peers));
+    }
+
+    pub(crate) fn stop(&mut self, index: usize) {
+        self.nodes[index] = None;
+    }
+
+    pub(crate) fn pause(&mut self, index: usize, paused: bool) {
+        self.paused[index] = paused;
+    }
+
+    /// Publishes the next version; a bad one does not compile.
+    pub(crate) fn publish(&mut self, good: bool) -> Head {
+        let version = self.platform.head.unwrap_or_default().version.next();
+        let text = format!("{} version {version}", if good { "good" } else { "bad" });
+        let bytes: Arc<[u8]> = Arc::from(text.into_bytes());
+        let head = Head { version, digest: Digest::of(&bytes) };
+        self.platform.objects.insert(head.digest, bytes);
+        self.platform.head = Some(head);
+        self.platform.heads.push(head);
+        head
+    }
+
+    pub(crate) fn event(&mut self, index: usize, event: Event) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            let Some(node) = self.nodes[index].as_mut() else { return };
+            for action in node.state.step(Millis(self.now), event) {
+                self.perform(index, action, &mut events);
+            }
+        }
+    }
+
+    fn perform(&mut self, index: usize, action: Action, events: &mut Vec<Event>) {
+        match action {
+            Action::Poll => {
+                let event = if self.platform.down {
+                    Event::TableFailed
+                } else {
+                    Event::TableHead(self.platform.head)
+                };
+                self.answer(index, event);
+            }
+            Action::ReadHistory(version) => {
+                let head = self.platform.heads.iter().find(|h| h.version == version).copied();
+                let head = head.filter(|_| !self.platform.down);
+                self.answer(index, Event::History(version, head));
+            }
+            Action::Notify { to, head } => {
+                let (control_addr, peer_addr) = (control(index), peer(index));
+                let notice = Event::Notice { head, control_addr, peer_addr };
+                self.datagram(to, Delivery::Event(notice));
+            }
+            Action::Acknowledge { to, head } => {
+                self.datagram(to, Delivery::Event(Event::Acknowledged(head)));
+            }
+            Action::AskFloor(addr) => {
+                let to = usize::from(addr.port() - PEER_PORT);
+                self.enqueue(to, 3, Delivery::AskFloor { from: index });
+            }
+            Action::Fetch { head, source: Source::Objects, .. } => {
+                let object = self.platform.objects.get(&head.digest).cloned();
+                let body = object.filter(|_| !self.platform.down).ok_or(FetchError::Failed);
+                self.answer(index, Event::Fetched { head, source: Source::Objects, body });
+            }
+            Action::Fetch { head, source: Source::Peer(addr), .. } => {
+                let to = usize::from(addr.port() - PEER_PORT);
+                self.enqueue(to, 3, Delivery::AskBody { from: index, head });
+            }
+            Action::Compile { head, bytes } => self.compile(index, head, bytes, events),
+            Action::Apply(head) => self.apply(index, head),
+            Action::HeadLearned(head) => {
+                if let Some(node) = self.nodes[index].as_mut() {
+                    node.advertised = head;
+                }
+            }
+            Action::Log(..) => {}
+        }
+    }
+
+    fn compile(&mut self, index: usize, head: Head, bytes: Arc<[u8]>, events: &mut Vec<Event>) {
+        let Some(node) = self.nodes[index].as_mut() else { return };
+        let whole = self.platform.objects.get(&head.digest) == Some(&bytes);
+        if !whole {
+            self.broken.push(format!("P3: node {index} compiled damaged bytes of {head:?}"));
+        }
+        let result =
+            if bytes.starts_with(b"good") { Ok(()) } else { Err("does not parse".to_string()) };
+        if result.is_ok() {
+            node.compiled = Some(head);
+            node.bodies.insert(head, bytes);
+        }
+        events.push(Event::Compiled { head, result });
+    }
+
+    fn apply(&mut self, index: usize, head: Head) {
+        let now = self.now;
+        let Some(node) = self.nodes[index].as_mut() else { return };
+        if node.compiled != Some(head) {
+            self.broken.push(format!("P3: node {index} applied {head:?}, which did not compile"));
+        }
+        if head.version < self.served[index] {
+            let served = self.served[index];
+            let version = head.version;
+            self.broken
+                .push(format!("P1: node {index} went from {served} down to {version} at {now}"));
+        }
+        self.served[index] = self.served[index].max(head.version);
+        node.applied = Some(head);
+    }
+
+    /// An answer of the platform; late when it is slow.
+    fn answer(&mut self, index: usize, event: Event) {
+        let latency = self.platform.latency_ms;
+        let delay = self.rng.random_range(1..=latency.max(1));
+        self.enqueue(index, delay, Delivery::Event(event));
+    }
+
+    fn datagram(&mut self, to: SocketAddr, delivery: Delivery) {
+        let to = usize::from(to.port() - CONTROL_PORT);
+        for _ in 0..1 + usize::from(self.rng.random_bool(0.05)) {
+            if self.rng.random_bool(self.loss) {
+                continue;
+            }
+            let late = self.rng.random_bool(0.05);
+            let delay = self.rng.random_range(1..=if late { 400 } else { 10 });
+            self.enqueue(to, delay, delivery.clone());
+        }
+    }
+
+    /// A delivery to a process does not reach the one that runs after a restart, except for
+    /// datagrams and requests of peers, which are addressed to the host.
+    fn enqueue(&mut self, to: usize, delay: u64, delivery: Delivery) {
+        let own = matches!(
+            &delivery,
+            Delivery::Event(
+                Event::TableHead(_)
+                    | Event::TableFailed
+                    | Event::History(..)
+                    | Event::Fetched { .. }
+                    | Event::FloorAnswer { .. }
+            )
+        );
+        let epoch = self.nodes[to].as_ref().map_or(0, |n| n.epoch);
+        self.sent += 1;
+        let epoch = if own { epoch } else { 0 };
+        self.queue.insert((self.now + delay, self.sent), (to, epoch, delivery));
+    }
+
+    pub(crate) fn run(&mut self, ms: u64) {
+        let ends = self.now + ms;
+        while self.now < ends {
+            self.now += 1;
+            self.deliver();
+            for index in 0..self.nodes.len() {
+                if self.paused[index] {
+                    continue;
+                }
+                let at = self.now + index as u64 * 7;
+                if at.is_multiple_of(TICK_MS) {
+                    self.event(index, Event::Tick);
+                }
+                if at.is_multiple_of(PING_MS) {
+                    self.ping(index);
+                }
+            }
+        }
+    }
+
+    /// Stands for a membership probe, which carries the head.
+    fn ping(&mut self, index: usize) {
+        let Some(node) = &self.nodes[index] else { return };
+        let head = node.advertised;
+        let to = self.rng.random_range(0..self.nodes.len());
+        if to != index {
+            self.datagram(control(to), Delivery::Ping { from: index, head });
+        }
+    }
+
+    fn deliver(&mut self) {
+        let later = self.queue.split_off(&(self.now + 1, 0));
+        let due = std::mem::replace(&mut self.queue, later);
+        for (key, (to, epoch, delivery)) in due {
+            let Some(node) = self.nodes[to].as_ref() else { continue };
+            if epoch != 0 && epoch != node.epoch {
+                continue;
+            }
+            if self.paused[to] {
+                self.queue.insert((self.now + 1, key.1), (to, epoch, delivery));
+                continue;
+            }
+            match delivery {
+                Delivery::Event(event) => self.event(to, event),
+                Delivery::Ping { from, head } if head != node.advertised => {
+                    let own = node.advertised;
+                    self.event(to, Event::PeerHead { head, peer_addr: Some(peer(from)) });
+                    let back = Event::PeerHead { head: own, peer_addr: Some(peer(to)) };
+                    self.datagram(control(from), Delivery::Event(back));
+                }
+                Delivery::Ping { .. } => {}
+                Delivery::AskFloor { from } => {
+                    let head = node.state.floor_reply();
+                    let answer = Event::FloorAnswer { peer_addr: peer(to), head };
+                    self.enqueue(from, 3, Delivery::Event(answer));
+                }
+                Delivery::AskBody { from, head } => {
+                    let body = node.bodies.get(&head).cloned().ok_or(FetchError::NotThere);
+                    let damaged = self.rng.random_bool(self.damage);
+                    let body = body.map(|b| if damaged { Arc::from(&b[..4]) } else { b });
+                    let source = Source::Peer(peer(to));
+                    self.enqueue(from, 3, Delivery::Event(Event::Fetched { head, source, body }));
+                }
+            }
+        }
+    }
+
+    /// Whether every running, unpaused node serves `head`.
+    pub(crate) fn all_serve(&self, head: Head) -> bool {
+        let nodes = self.nodes.iter().zip(&self.paused);
+        nodes
+            .filter(|(_, paused)| !**paused)
+            .all(|(node, _)| node.as_ref().is_none_or(|n| n.applied == Some(head)))
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/tests/support/member_net.rs
@@ -0,0 +1,221 @@
+//! A small in-memory network of membership state machines on a virtual clock.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use ibisroute::membership::membership_settings::MembershipSettings;
+use ibisroute::membership::record::Addresses;
+use ibisroute::membership::record::MemberRecord;
+use ibisroute::membership::record::MemberView;
+use ibisroute::membership::record::Status;
+use ibisroute::membership::record::TargetRecord;
+use ibisroute::membership::record::TargetState;
+use ibisroute::membership::state::Action;
+use ibisroute::membership::state::Event;
+use ibisroute::membership::state::State;
+use ibisroute::types::Millis;
+use ibisroute::wire;
+use ibisroute::wire::Datagram;
+use ibisroute::wire::MAX_DATAGRAM_BYTES;
+use ibisroute::wire::MemberDatagram;
+use ibisroute::wire::MemberRecordWire;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const TICK_MS: u64 = 50;
+const CONTROL_PORT: u16 = 10_000;
+const PEER_PORT: u16 = 20_000;
+
+enum Delivery {
+    Datagram(Box<MemberDatagram>),
+    Join { from: usize, record: Box<MemberRecordWire> },
+    JoinReply(Vec<MemberRecordWire>),
+}
+
+pub(crate) struct Net {
+    pub(crate) now: u64,
+    pub(crate) loss: f64,
+    pub(crate) rng: SmallRng,
+    pub(crate) nodes: Vec<Option<State>>,
+    paused: Vec<bool>,
+    group: Vec<u8>,
+    queue: BTreeMap<(u64, u64), (usize, Delivery)>,
+    sent: u64,
+    seed: u64,
+    pub(crate) udp_bytes: u64,
+}
+
+pub(crate) fn record(index: usize, incarnation: u64) -> MemberRecord {
+    let addr = |port: u16| SocketAddr::from(([127, 0, 0, 1], port + index as u16));
+    MemberRecord {
+        node: format!("node-{index:02}").parse().expect("node id"),
+        incarnation,
+        revision: 0,
+        status: Status::Alive,
+        data_centre: "erongo-a".parse().expect("data centre"),
+        region: "erongo".parse().expect("region"),
+        addresses: Addresses {
+            control: addr(CONTROL_PORT),
+            peer: addr(PEER_PORT),
+            caller: addr(30_000),
+            admin: addr(40_000),
+        },
+        targets: Vec::new(),
+    }
+}
+
+pub(crate) fn target(index: usize, state: TargetState) -> TargetRecord {
+    TargetRecord {
+        service: "counter".parse().expect("service"),
+        version: "v1".parse().expect("version"),
+        instance: format!("run-{index}").parse().expect("instance"),
+        slots: 10,
+        state,
+    }
+}
+
+impl Net {
+    /// `count` nodes that joined the first one and have settled.
+    pub(crate) fn settled(seed: u64, count: usize, loss: f64) -> Self {
+        let mut net = Self {
+            now: 1_000,
+            loss,
+            rng: SmallRng::seed_from_u64(seed),
+            nodes: Vec::new(),
+            paused: vec![false; count],
+            group: vec![0; count],
+            queue: BTreeMap::new(),
+            sent: 0,
+            seed,
+            udp_bytes: 0,
+        };
+        for index in 0..count {
+            net.nodes.push(None);
+            net.start(index, 1_000);
+            net.event(index, Event::LocalTargets(vec![target(index, TargetState::Ready)]));
+            if index > 0 {
+                net.join(index, 0);
+            }
+        }
+        net.run(10_000);
+        net
+    }
+
+    pub(crate) fn start(&mut self, index: usize, incarnation: u64) {
+        let seed = self.seed ^ (self.now << 8) ^ index as u64;
+        let settings = MembershipSettings::default();
+        self.nodes[index] = Some(State::new(record(index, incarnation), settings, seed));
+        self.paused[index] = false;
+    }
+
+    pub(crate) fn stop(&mut self, index: usize) {
+        self.nodes[index] = None;
+        // What was in flight to the old process does not reach a new one.
+        self.queue.retain(|_, (to, _)| *to != index);
+    }
+
+    /// A paused process keeps its received datagrams until it resumes.
+    pub(crate) fn pause(&mut self, index: usize, paused: bool) {
+        self.paused[index] = paused;
+    }
+
+    pub(crate) fn cut(&mut self, index: usize, group: u8) {
+        self.group[index] = group;
+    }
+
+    pub(crate) fn join(&mut self, index: usize, peer: usize) {
+        let Some(state) = &self.nodes[index] else { return };
+        let record = Box::new(MemberRecordWire::from(state.local()));
+        self.enqueue(index, peer, 2, Delivery::Join { from: index, record });
+    }
+
+    pub(crate) fn event(&mut self, index: usize, event: Event) {
+        let Some(state) = self.nodes[index].as_mut() else { return };
+        let actions = state.step(Millis(self.now), event);
+        for action in actions {
+            match action {
+                Action::Send { to, datagram } => self.send(index, to, datagram),
+                Action::Sync(addr) => self.join(index, usize::from(addr.port() - PEER_PORT)),
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, datagram: MemberDatagram) {
+        let whole = Datagram::Member(datagram.clone());
+        let buf = wire::encode(&whole, MAX_DATAGRAM_BYTES).expect("datagram within its limit");
+        self.udp_bytes += buf.len() as u64 + 28;
+        let to = usize::from(to.port() - CONTROL_PORT);
+        let copies = 1 + usize::from(self.rng.random_bool(0.05));
+        for _ in 0..copies {
+            if self.rng.random_bool(self.loss) {
+                continue;
+            }
+            // One in twenty is delayed so long that it arrives out of order.
+            let late = self.rng.random_bool(0.05);
+            let delay = self.rng.random_range(1..=if late { 400 } else { 10 });
+            self.enqueue(from, to, delay, Delivery::Datagram(Box::new(datagram.clone())));
+        }
+    }
+
+    fn enqueue(&mut self, from: usize, to: usize, delay: u64, delivery: Delivery) {
+        if to >= self.nodes.len() || self.group[from] != self.group[to] {
+            return;
+        }
+        self.sent += 1;
+        self.queue.insert((self.now + delay, self.sent), (to, delivery));
+    }
+
+    pub(crate) fn run(&mut self, ms: u64) {
+        let ends = self.now + ms;
+        while self.now < ends {
+            self.now += 1;
+            self.deliver();
+            for index in 0..self.nodes.len() {
+                if (self.now + index as u64 * 7).is_multiple_of(TICK_MS) && !self.paused[index] {
+                    self.event(index, Event::Tick);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let later = self.queue.split_off(&(self.now + 1, 0));
+        let due = std::mem::replace(&mut self.queue, later);
+        for (key, (to, delivery)) in due {
+            if self.nodes[to].is_none() {
+                continue;
+            }
+            if self.paused[to] {
+                self.queue.insert((self.now + 1, key.1), (to, delivery));
+                continue;
+            }
+            match delivery {
+                Delivery::Datagram(datagram) => self.event(to, Event::Received(*datagram)),
+                Delivery::Join { from, record } => {
+                    self.event(to, Event::Joined(*record));
+                    let Some(state) = &self.nodes[to] else { continue };
+                    let reply = state.full_state();
+                    self.enqueue(to, from, 2, Delivery::JoinReply(reply));
+                }
+                Delivery::JoinReply(records) => self.event(to, Event::State(records)),
+            }
+        }
+    }
+
+    pub(crate) fn view(&self, index: usize) -> Option<MemberView> {
+        self.nodes[index].as_ref().map(State::view)
+    }
+
+    /// Whether every running node sees exactly the running nodes as live.
+    pub(crate) fn agrees(&self) -> bool {
+        let running: Vec<String> = (0..self.nodes.len())
+            .filter(|i| self.nodes[*i].is_some())
+            .map(|i| format!("node-{i:02}"))
+            .collect();
+        let live =
+            |view: MemberView| -> Vec<String> { view.live().map(|m| m.node.to_string()).collect() };
+        self.nodes.iter().flatten().all(|state| live(state.view()) == running)
+    }
+}
