--- /dev/null
+++ b/crates/ibisroute/src/bin/ibisctl.rs
@@ -0,0 +1,7 @@
+//! The operators' command line; see `ibisroute::ctl`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    ibisroute::ctl::run(std::env::args_os()).into()
+}
--- /dev/null
+++ b/crates/ibisroute/src/ctl/admin_client.rs
@@ -0,0 +1,91 @@
+//! Reads the admin interface of nodes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::Client;
+use awc::Connector;
+use awc::http::StatusCode;
+use eyre::Result;
+use eyre::bail;
+use eyre::eyre;
+use futures_util::StreamExt;
+use futures_util::stream;
+use serde::de::DeserializeOwned;
+
+use super::admin_model::MembersReport;
+use crate::membership::record::MemberRecord;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The member list of a large fleet fits.
+const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+
+/// Requests to different nodes at a time.
+const CONCURRENT_NODES: usize = 32;
+
+/// HTTP client for admin interfaces.
+#[derive(Clone)]
+pub struct AdminClient {
+    client: Client,
+}
+
+impl Default for AdminClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl AdminClient {
+    /// Makes a client. Must run inside an actix system.
+    pub fn new() -> Self {
+        let connector = Connector::new().timeout(CONNECT_TIMEOUT);
+        let client =
+            Client::builder().connector(connector).disable_timeout().disable_redirects().finish();
+        Self { client }
+    }
+
+    /// Reads a JSON document from a node.
+    pub async fn get<T: DeserializeOwned>(&self, node: SocketAddr, path: &str) -> Result<T> {
+        let exchange = async {
+            let request = self.client.get(format!("http://{node}{path}"));
+            let mut response = request.send().await.map_err(|e| eyre!("{e}"))?;
+            let status = response.status();
+            if status != StatusCode::OK {
+                bail!("status {status}");
+            }
+            response.body().limit(MAX_ANSWER_BYTES).await.map_err(|e| eyre!("{e}"))
+        };
+        let body = match tokio::time::timeout(REQUEST_TIMEOUT, exchange).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(e)) => bail!("cannot read {path} from the node at {node}: {e}"),
+            Err(_) => bail!("no answer to {path} from the node at {node} in {REQUEST_TIMEOUT:?}"),
+        };
+        serde_json::from_slice(&body)
+            .map_err(|e| eyre!("the node at {node} answered {path} with something else: {e}"))
+    }
+
+    /// The live members that a node knows.
+    pub async fn live_members(&self, node: SocketAddr) -> Result<Vec<MemberRecord>> {
+        let report: MembersReport = self.get(node, "/members").await?;
+        Ok(report.members.into_iter().filter(MemberRecord::is_live).collect())
+    }
+
+    /// Reads the same document from many nodes, a bounded number at a time.
+    pub async fn get_each<T: DeserializeOwned>(
+        &self,
+        members: &[MemberRecord],
+        path: &str,
+    ) -> Vec<(MemberRecord, Result<T>)> {
+        let request = |member: MemberRecord| async move {
+            let result = self.get(member.addresses.admin, path).await;
+            (member, result)
+        };
+        stream::iter(members.to_vec())
+            .map(request)
+            .buffer_unordered(CONCURRENT_NODES)
+            .collect()
+            .await
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/src/ctl/app.rs
@@ -0,0 +1,293 @@
+//! The command line as `clap` sees it.
+
+use std::net::SocketAddr;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::Command;
+use clap::builder::PossibleValuesParser;
+use clap::builder::RangedU64ValueParser;
+use clap::value_parser;
+use clap_complete::Shell;
+
+use crate::types::MoveId;
+use crate::types::ServiceName;
+use crate::types::VersionName;
+
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  other failure
+  2  wrong command line
+  3  invalid catalogue
+  4  conflict with another operator's version
+  5  not in force on every node in time
+  6  platform unavailable, or outcome unknown";
+
+/// The whole command line.
+pub fn app() -> Command {
+    Command::new("ibisctl")
+        .about("Edits and reads the catalogue of a mesh, and reports what its nodes do")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .after_help(format!(
+            "Examples:\n  ibisctl catalogue check kuiseb.json\n  \
+             ibisctl --platform 10.0.0.5:7400 catalogue history\n  \
+             ibisctl --node 10.0.1.7:7303 status\n\n{EXIT_CODES}"
+        ))
+        .arg(address("platform", "Address of the platform"))
+        .arg(address("node", "Address of the admin interface of any node"))
+        .arg(
+            Arg::new("output")
+                .long("output")
+                .global(true)
+                .value_name("FORMAT")
+                .value_parser(PossibleValuesParser::new(["table", "json"]))
+                .default_value("table")
+                .help("Format of the output"),
+        )
+        .arg(
+            number("retry-s", "N", "Longest time to repeat failed platform requests, in seconds")
+                .value_parser(value_parser!(u64).range(0..=3_600))
+                .global(true)
+                .default_value("10"),
+        )
+        .subcommand(catalogue())
+        .subcommand(moves())
+        .subcommand(
+            Command::new("status")
+                .about("Shows the state of one node")
+                .after_help("Examples:\n  ibisctl --node 10.0.1.7:7303 status"),
+        )
+        .subcommand(report())
+        .subcommand(events())
+        .subcommand(completions())
+}
+
+fn address(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .global(true)
+        .value_name("IP:PORT")
+        .value_parser(value_parser!(SocketAddr))
+        .help(help)
+}
+
+fn file() -> Arg {
+    Arg::new("file").value_name("FILE").required(true).help("Catalogue file; '-' reads from stdin")
+}
+
+fn text(name: &'static str, value: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name(value).help(help)
+}
+
+/// A version; keys of the history have 12 digits, and the version after it must fit too.
+fn version_parser() -> RangedU64ValueParser {
+    value_parser!(u64).range(0..999_999_999_999)
+}
+
+fn number(name: &'static str, value: &'static str, help: &'static str) -> Arg {
+    text(name, value, help).value_parser(value_parser!(u64))
+}
+
+fn wait_args(command: Command) -> Command {
+    command
+        .arg(
+            Arg::new("wait")
+                .long("wait")
+                .action(ArgAction::SetTrue)
+                .help("Return when the version is in force on every live node (needs --node)"),
+        )
+        .arg(
+            number("timeout-s", "N", "Longest time to wait, in seconds")
+                .value_parser(value_parser!(u64).range(1..=86_400))
+                .default_value("30"),
+        )
+}
+
+fn catalogue() -> Command {
+    Command::new("catalogue")
+        .about("Checks, compares, applies and shows catalogues")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .after_help("Examples:\n  ibisctl catalogue check kuiseb.json")
+        .subcommand(
+            Command::new("check")
+                .about("Checks a file and reports every fault")
+                .after_help("Examples:\n  ibisctl catalogue check kuiseb.json")
+                .arg(file()),
+        )
+        .subcommand(
+            Command::new("diff")
+                .about("Shows what a file would change")
+                .after_help(
+                    "Examples:\n  ibisctl --platform 10.0.0.5:7400 catalogue diff kuiseb.json\n  \
+                     ibisctl --platform 10.0.0.5:7400 catalogue diff kuiseb.json --against 41",
+                )
+                .arg(file())
+                .arg(
+                    number("against", "VERSION", "Compare with this version, not the head")
+                        .value_parser(version_parser()),
+                ),
+        )
+        .subcommand(apply())
+        .subcommand(
+            Command::new("show")
+                .about("Prints an accepted version as a catalogue file")
+                .after_help(
+                    "Examples:\n  ibisctl --platform 10.0.0.5:7400 catalogue show > kuiseb.json\n  \
+                     ibisctl --platform 10.0.0.5:7400 catalogue show 41",
+                )
+                .arg(
+                    Arg::new("version")
+                        .value_name("VERSION")
+                        .value_parser(version_parser())
+                        .help("Version; the head when absent"),
+                ),
+        )
+        .subcommand(
+            Command::new("history")
+                .about("Lists the accepted versions")
+                .after_help("Examples:\n  ibisctl --platform 10.0.0.5:7400 catalogue history"),
+        )
+}
+
+fn apply() -> Command {
+    let command = Command::new("apply")
+        .about("Makes a file the next version")
+        .after_help(
+            "Examples:\n  ibisctl --platform 10.0.0.5:7400 catalogue apply kuiseb.json \
+             --author ana --note 'shorter deadlines'\n  \
+             ibisctl --platform 10.0.0.5:7400 --node 10.0.1.7:7303 catalogue apply kuiseb.json \
+             --author ana --base 41 --wait\n\n\
+             Give --base with the version that the file was made from. Without it the file is\n\
+             applied on the head that the command finds.",
+        )
+        .arg(file())
+        .arg(text("author", "NAME", "Who applies it").required(true))
+        .arg(text("note", "TEXT", "Why").default_value(""))
+        .arg(
+            number(
+                "base",
+                "VERSION",
+                "Apply only if this version is the head; 0: if there is none",
+            )
+            .value_parser(version_parser()),
+        );
+    wait_args(command)
+}
+
+fn moves() -> Command {
+    Command::new("move")
+        .about("Declares moves and shows their progress")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .after_help("Examples:\n  ibisctl --node 10.0.1.7:7303 move list")
+        .subcommand(declare())
+        .subcommand(
+            Command::new("list")
+                .about("Lists the moves that a node knows")
+                .after_help("Examples:\n  ibisctl --node 10.0.1.7:7303 move list"),
+        )
+        .subcommand(
+            Command::new("show")
+                .about("Shows one move, with its recorded outcome when --platform is given")
+                .after_help(
+                    "Examples:\n  ibisctl --node 10.0.1.7:7303 --platform 10.0.0.5:7400 \
+                     move show counter-v2",
+                )
+                .arg(move_id()),
+        )
+        .subcommand(
+            Command::new("watch")
+                .about("Prints each change of a move until it has finished or is withdrawn")
+                .after_help("Examples:\n  ibisctl --node 10.0.1.7:7303 move watch counter-v2")
+                .arg(move_id()),
+        )
+}
+
+fn move_id() -> Arg {
+    Arg::new("id")
+        .value_name("ID")
+        .required(true)
+        .value_parser(|s: &str| s.parse::<MoveId>())
+        .help("Id of the move")
+}
+
+fn declare() -> Command {
+    let command = Command::new("declare")
+        .about("Declares a move in the next version of the catalogue")
+        .after_help(
+            "Examples:\n  ibisctl --platform 10.0.0.5:7400 move declare --service counter --to v2 \
+             --id counter-v2 --start now --finish-by +20m --author ana\n\n\
+             Times are 'now', a span such as +90s, +20m or +2h (of --start from now, of\n\
+             --finish-by from the start), UTC such as 2025-12-04T21:00:00Z, or Unix\n\
+             milliseconds.",
+        )
+        .arg(
+            text("service", "S", "Service")
+                .required(true)
+                .value_parser(|s: &str| s.parse::<ServiceName>()),
+        )
+        .arg(
+            text("to", "V", "Version that takes over the traffic")
+                .required(true)
+                .value_parser(|s: &str| s.parse::<VersionName>()),
+        )
+        .arg(
+            text("id", "ID", "Id of the move; never used before")
+                .required(true)
+                .value_parser(|s: &str| s.parse::<MoveId>()),
+        )
+        .arg(text("start", "TIME", "First call to the new version").required(true))
+        .arg(text("finish-by", "TIME", "The move has finished by then").required(true))
+        .arg(text("author", "NAME", "Who declares it").required(true))
+        .arg(text("note", "TEXT", "Why").default_value(""));
+    wait_args(command)
+}
+
+fn report() -> Command {
+    Command::new("report")
+        .about("Reports over the fleet")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .after_help("Examples:\n  ibisctl --node 10.0.1.7:7303 report burn")
+        .subcommand(
+            Command::new("burn")
+                .about("Shows how fast each entry uses up its error budget, over all live nodes")
+                .after_help(
+                    "Examples:\n  ibisctl --node 10.0.1.7:7303 report burn\n  \
+                     ibisctl --node 10.0.1.7:7303 --output json report burn",
+                ),
+        )
+}
+
+fn events() -> Command {
+    Command::new("events")
+        .about("Prints the numbered events of one node")
+        .after_help(
+            "Examples:\n  ibisctl --node 10.0.1.7:7303 events --after 120\n  \
+             ibisctl --node 10.0.1.7:7303 events --follow",
+        )
+        .arg(number("after", "N", "Only events with a higher sequence").default_value("0"))
+        .arg(
+            Arg::new("follow")
+                .long("follow")
+                .action(ArgAction::SetTrue)
+                .help("Keep printing new events"),
+        )
+}
+
+fn completions() -> Command {
+    Command::new("completions")
+        .about("Prints completions for a shell")
+        .after_help("Examples:\n  ibisctl completions bash > /etc/bash_completion.d/ibisctl")
+        .arg(
+            Arg::new("shell")
+                .value_name("SHELL")
+                .required(true)
+                .value_parser(value_parser!(Shell))
+                .help("Shell"),
+        )
+}
--- /dev/null
+++ b/crates/ibisroute/src/ctl/commands/mod.rs
@@ -0,0 +1,5 @@
+//! Commands that change the catalogue.
+
+pub mod apply;
+pub mod declare;
+mod in_force;
--- /dev/null
+++ b/crates/ibisroute/src/ctl/context.rs
@@ -0,0 +1,93 @@
+//! What every command gets: addresses, output format and clients.
+
+use std::collections::hash_map::RandomState;
+use std::hash::BuildHasher;
+use std::hash::Hasher;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use clap::ArgMatches;
+use eyre::WrapErr;
+
+use super::admin_client::AdminClient;
+use super::exit::Exit;
+use super::exit::Stop;
+use super::output::Output;
+use crate::catalogue;
+use crate::catalogue::model::Catalogue;
+use crate::catalogue::store::Store;
+use crate::catalogue::store_settings::StoreSettings;
+use crate::platform::client::HttpPlatform;
+use crate::platform::platform_settings::PlatformSettings;
+
+/// Options that all commands share.
+pub struct Context {
+    platform: Option<SocketAddr>,
+    node: Option<SocketAddr>,
+    retry_for_ms: u64,
+    /// Output.
+    pub output: Output,
+}
+
+impl Context {
+    /// Reads the global options.
+    pub fn new(matches: &ArgMatches) -> Self {
+        let json = matches.get_one::<String>("output").is_some_and(|s| s == "json");
+        Self {
+            platform: matches.get_one("platform").copied(),
+            node: matches.get_one("node").copied(),
+            retry_for_ms: matches.get_one::<u64>("retry-s").map_or(10_000, |s| s * 1000),
+            output: if json { Output::Json } else { Output::Table },
+        }
+    }
+
+    /// Whether `--platform` was given.
+    pub fn has_platform(&self) -> bool {
+        self.platform.is_some()
+    }
+
+    /// The store of accepted versions; needs `--platform`.
+    pub fn store(&self) -> Result<Store, Stop> {
+        let Some(address) = self.platform else {
+            return Err(Stop::usage("this command needs --platform IP:PORT".to_string()));
+        };
+        let cfg = PlatformSettings { address, ..PlatformSettings::default() };
+        let platform = Rc::new(HttpPlatform::new(cfg));
+        let cfg = StoreSettings { retry_for_ms: self.retry_for_ms, ..StoreSettings::default() };
+        Ok(Store::new(platform, cfg, random_seed()))
+    }
+
+    /// A client for nodes and the address of the given one; needs `--node`.
+    pub fn node(&self) -> Result<(AdminClient, SocketAddr), Stop> {
+        let Some(address) = self.node else {
+            return Err(Stop::usage("this command needs --node IP:PORT".to_string()));
+        };
+        Ok((AdminClient::new(), address))
+    }
+}
+
+/// The standard library seeds its hashers from the system's random source.
+fn random_seed() -> u64 {
+    let mut hasher = RandomState::new().build_hasher();
+    hasher.write_u32(std::process::id());
+    hasher.finish()
+}
+
+/// Reads a file, or standard input for `-`.
+pub fn read_file(path: &str) -> Result<Vec<u8>, Stop> {
+    if path != "-" {
+        return Ok(std::fs::read(path).wrap_err_with(|| format!("cannot read {path}"))?);
+    }
+    let mut bytes = Vec::new();
+    std::io::stdin().read_to_end(&mut bytes).wrap_err("cannot read standard input")?;
+    Ok(bytes)
+}
+
+/// Reads and parses a catalogue file; faults go to standard error.
+pub fn read_catalogue(path: &str) -> Result<Catalogue, Stop> {
+    catalogue::parse(&read_file(path)?).map_err(|errors| {
+        eprintln!("{path} is not a valid catalogue:\n{errors}");
+        Stop::silent(Exit::Invalid)
+    })
+}
--- a/crates/ibisroute/src/ctl/mod.rs
+++ b/crates/ibisroute/src/ctl/mod.rs
@@ -1,1 +1,83 @@
-//! The operators' command line.
+//! The operators' command line. `commands` change things, `queries` read.
+//!
+//! `docs/ibisctl.md` describes the commands and the exit codes.
+
+pub mod admin_client;
+pub mod admin_model;
+pub mod app;
+pub mod burn;
+pub mod commands;
+pub mod context;
+pub mod exit;
+pub mod output;
+pub mod queries;
+pub mod times;
+
+use std::ffi::OsString;
+
+use clap::ArgMatches;
+
+use self::context::Context;
+use self::exit::Exit;
+use self::exit::Stop;
+
+/// Runs the command line and returns the exit status.
+pub fn run(args: impl IntoIterator<Item = OsString>) -> Exit {
+    let matches = match app::app().try_get_matches_from(args) {
+        Ok(matches) => matches,
+        Err(e) => {
+            // Help goes to standard output with status 0, anything else is a usage error.
+            let _ = e.print();
+            return if e.use_stderr() { Exit::Usage } else { Exit::Done };
+        }
+    };
+    match actix_rt::System::new().block_on(dispatch(&matches)) {
+        Ok(()) => Exit::Done,
+        Err(stop) => {
+            if let Some(report) = stop.report {
+                eprintln!("ibisctl: {report:#}");
+            }
+            stop.exit
+        }
+    }
+}
+
+async fn dispatch(matches: &ArgMatches) -> Result<(), Stop> {
+    let cx = Context::new(matches);
+    let (group, args) = required(matches);
+    match group {
+        "catalogue" => catalogue(&cx, args).await,
+        "move" => moves(&cx, args).await,
+        "status" => queries::status::run(&cx).await,
+        "report" => queries::burn::run(&cx).await,
+        "events" => queries::events::run(&cx, args).await,
+        "completions" => queries::completions::run(args),
+        other => Err(Stop::usage(format!("unknown command {other}"))),
+    }
+}
+
+async fn catalogue(cx: &Context, args: &ArgMatches) -> Result<(), Stop> {
+    match required(args) {
+        ("check", args) => queries::check::run(cx, args),
+        ("diff", args) => queries::diff::run(cx, args).await,
+        ("apply", args) => commands::apply::run(cx, args).await,
+        ("show", args) => queries::show::run(cx, args).await,
+        ("history", _) => queries::history::run(cx).await,
+        (other, _) => Err(Stop::usage(format!("unknown command catalogue {other}"))),
+    }
+}
+
+async fn moves(cx: &Context, args: &ArgMatches) -> Result<(), Stop> {
+    match required(args) {
+        ("declare", args) => commands::declare::run(cx, args).await,
+        ("list", _) => queries::moves::list(cx).await,
+        ("show", args) => queries::moves::show(cx, args).await,
+        ("watch", args) => queries::moves::watch(cx, args).await,
+        (other, _) => Err(Stop::usage(format!("unknown command move {other}"))),
+    }
+}
+
+/// The subcommand; `clap` has made sure that there is one.
+fn required(matches: &ArgMatches) -> (&str, &ArgMatches) {
+    matches.subcommand().expect("clap requires a subcommand")
+}
--- /dev/null
+++ b/crates/ibisroute/src/ctl/queries/diff.rs
@@ -0,0 +1,41 @@
+//! `catalogue diff`.
+
+use clap::ArgMatches;
+use smol_str::SmolStr;
+
+use crate::catalogue::diff::Change;
+use crate::catalogue::diff::diff;
+use crate::catalogue::model::Catalogue;
+use crate::ctl::context::Context;
+use crate::ctl::context::read_catalogue;
+use crate::ctl::exit::Stop;
+use crate::types::ConfigVersion;
+
+/// Runs the query.
+pub async fn run(cx: &Context, args: &ArgMatches) -> Result<(), Stop> {
+    let path = args.get_one::<String>("file").map_or("-", String::as_str);
+    let ours = read_catalogue(path)?;
+    let store = cx.store()?;
+    let digest = match args.get_one::<u64>("against") {
+        Some(version) => Some(store.version(ConfigVersion(*version)).await?.digest),
+        None => store.head().await?.map(|head| head.row.digest),
+    };
+    let theirs = match digest {
+        Some(digest) => store.body(digest).await?,
+        // Before the first version everything is new.
+        None => Catalogue {
+            name: SmolStr::default(),
+            services: Vec::new(),
+            entries: Vec::new(),
+            moves: Vec::new(),
+        },
+    };
+    cx.output.print(&diff(&theirs, &ours), |changes| text(changes))
+}
+
+fn text(changes: &[Change]) -> String {
+    if changes.is_empty() {
+        return "no difference".to_string();
+    }
+    changes.iter().map(|change| format!("{change}\n")).collect()
+}
--- /dev/null
+++ b/crates/ibisroute/src/ctl/queries/events.rs
@@ -0,0 +1,35 @@
+//! `events`.
+
+use std::time::Duration;
+
+use clap::ArgMatches;
+
+use crate::ctl::admin_model::EventsReport;
+use crate::ctl::context::Context;
+use crate::ctl::exit::Stop;
+use crate::ctl::times::format_time;
+use crate::events::LoggedEvent;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Runs the query. With `--output json` each event is one line.
+pub async fn run(cx: &Context, args: &ArgMatches) -> Result<(), Stop> {
+    let (client, node) = cx.node()?;
+    let mut after = args.get_one::<u64>("after").copied().unwrap_or(0);
+    loop {
+        let report: EventsReport = client.get(node, &format!("/events?after={after}")).await?;
+        for event in &report.events {
+            cx.output.print(event, text)?;
+            after = after.max(event.sequence);
+        }
+        if !args.get_flag("follow") {
+            return Ok(());
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+fn text(event: &LoggedEvent) -> String {
+    let LoggedEvent { sequence, unix_ms, number, name, level, detail } = event;
+    format!("{sequence} {} {level} [{number}] {name}: {detail}", format_time(*unix_ms))
+}
--- /dev/null
+++ b/crates/ibisroute/src/ctl/queries/history.rs
@@ -0,0 +1,29 @@
+//! `catalogue history`.
+
+use crate::ctl::context::Context;
+use crate::ctl::exit::Stop;
+use crate::ctl::output::table;
+use crate::ctl::times::format_time;
+
+/// Digits of a digest that tables show.
+const SHORT_DIGEST: usize = 12;
+
+/// Runs the query.
+pub async fn run(cx: &Context) -> Result<(), Stop> {
+    let history = cx.store()?.history().await?;
+    cx.output.print(&history, |rows| {
+        let rows: Vec<Vec<String>> = rows
+            .iter()
+            .map(|row| {
+                vec![
+                    row.version.to_string(),
+                    format_time(row.unix_ms),
+                    row.author.to_string(),
+                    row.digest.to_string()[..SHORT_DIGEST].to_string(),
+                    row.note.to_string(),
+                ]
+            })
+            .collect();
+        table(&["VERSION", "TIME", "AUTHOR", "DIGEST", "NOTE"], &rows)
+    })
+}
--- /dev/null
+++ b/crates/ibisroute/src/ctl/queries/mod.rs
@@ -0,0 +1,11 @@
+//! Queries, which change nothing.
+
+pub mod burn;
+pub mod check;
+pub mod completions;
+pub mod diff;
+pub mod events;
+pub mod history;
+pub mod moves;
+pub mod show;
+pub mod status;
--- /dev/null
+++ b/crates/ibisroute/src/ctl/queries/moves.rs
@@ -0,0 +1,119 @@
+//! `move list`, `move show` and `move watch`.
+
+use std::time::Duration;
+
+use clap::ArgMatches;
+use eyre::eyre;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::ctl::admin_model::MoveReport;
+use crate::ctl::admin_model::MovesReport;
+use crate::ctl::commands::declare::outcome_key;
+use crate::ctl::context::Context;
+use crate::ctl::exit::Stop;
+use crate::ctl::output::table;
+use crate::ctl::times::format_time;
+use crate::types::MoveId;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Failed polls in a row after which `watch` gives up.
+const MAX_FAILED_POLLS: u32 = 20;
+
+const HEADERS: [&str; 8] = ["ID", "SERVICE", "FROM", "TO", "STAGE", "SHARE", "STATE", "FINISH BY"];
+
+fn state(m: &MoveReport) -> String {
+    match (m.withdrawn, m.finished, &m.reason) {
+        (true, _, Some(reason)) => format!("withdrawn: {reason}"),
+        (true, _, None) => "withdrawn".to_string(),
+        (false, true, _) => "finished".to_string(),
+        (false, false, _) if m.stage == 0 => "not started".to_string(),
+        (false, false, _) => "running".to_string(),
+    }
+}
+
+fn row(m: &MoveReport) -> Vec<String> {
+    vec![
+        m.id.to_string(),
+        m.service.to_string(),
+        m.from.to_string(),
+        m.to.to_string(),
+        m.stage.to_string(),
+        format!("{:.0}%", m.share * 100.0),
+        state(m),
+        format_time(m.finish_by_unix_ms),
+    ]
+}
+
+/// Runs `move list`.
+pub async fn list(cx: &Context) -> Result<(), Stop> {
+    let (client, node) = cx.node()?;
+    let report: MovesReport = client.get(node, "/moves").await?;
+    cx.output.print(&report, |report| {
+        let rows: Vec<Vec<String>> = report.moves.iter().map(row).collect();
+        table(&HEADERS, &rows)
+    })
+}
+
+fn id_of(args: &ArgMatches) -> Result<&MoveId, Stop> {
+    args.get_one::<MoveId>("id").ok_or_else(|| Stop::usage("ID is required".to_string()))
+}
+
+async fn find(cx: &Context, id: &MoveId) -> eyre::Result<Option<MoveReport>, Stop> {
+    let (client, node) = cx.node()?;
+    let report: MovesReport = client.get(node, "/moves").await?;
+    Ok(report.moves.into_iter().find(|m| &m.id == id))
+}
+
+/// Runs `move show`.
+pub async fn show(cx: &Context, args: &ArgMatches) -> Result<(), Stop> {
+    let id = id_of(args)?;
+    let found = find(cx, id).await?;
+    let outcome: Option<Value> = match cx.has_platform() {
+        true => cx.store()?.value(&outcome_key(id)).await?,
+        false => None,
+    };
+    if found.is_none() && outcome.is_none() {
+        return Err(eyre!("no move {id} is known").into());
+    }
+    let value = json!({"move": found, "outcome": outcome});
+    cx.output.print(&value, |_| {
+        let rows: Vec<Vec<String>> = found.iter().map(row).collect();
+        let mut text = if rows.is_empty() { String::new() } else { table(&HEADERS, &rows) };
+        if let Some(outcome) = &outcome {
+            text.push_str(&format!("recorded outcome of {id}: {outcome}\n"));
+        }
+        text
+    })
+}
+
+/// Runs `move watch`.
+pub async fn watch(cx: &Context, args: &ArgMatches) -> Result<(), Stop> {
+    let id = id_of(args)?;
+    let mut last = None;
+    let mut failed_polls = 0;
+    loop {
+        match find(cx, id).await {
+            Ok(Some(m)) => {
+                failed_polls = 0;
+                if last.as_ref() != Some(&m) {
+                    cx.output.print(&m, |m| row(m).join("  "))?;
+                }
+                if m.withdrawn || m.finished {
+                    return Ok(());
+                }
+                last = Some(m);
+            }
+            Ok(None) => return Err(eyre!("the node knows no move {id}").into()),
+            Err(stop) => {
+                failed_polls += 1;
+                // Without a first answer the address is probably wrong.
+                if last.is_none() || failed_polls >= MAX_FAILED_POLLS {
+                    return Err(stop);
+                }
+            }
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/src/ctl/queries/show.rs
@@ -0,0 +1,24 @@
+//! `catalogue show`.
+
+use clap::ArgMatches;
+use eyre::eyre;
+
+use crate::catalogue::document::Document;
+use crate::ctl::context::Context;
+use crate::ctl::exit::Stop;
+use crate::types::ConfigVersion;
+
+/// Runs the query. Both formats print a document that `catalogue apply` accepts; `json` prints the
+/// canonical bytes.
+pub async fn run(cx: &Context, args: &ArgMatches) -> Result<(), Stop> {
+    let store = cx.store()?;
+    let digest = match args.get_one::<u64>("version") {
+        Some(version) => store.version(ConfigVersion(*version)).await?.digest,
+        None => match store.head().await? {
+            Some(head) => head.row.digest,
+            None => return Err(eyre!("there is no catalogue yet").into()),
+        },
+    };
+    let doc = Document::from(&store.body(digest).await?);
+    cx.output.print(&doc, |doc| serde_json::to_string_pretty(doc).unwrap_or_default())
+}
--- /dev/null
+++ b/crates/ibisroute/tests/common/http_fakes.rs
@@ -0,0 +1,253 @@
+//! A platform and a node as small HTTP servers, for tests that run `ibisctl` as a process.
+
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+
+/// Status and body; `None` closes the connection without an answer.
+type Answer = Option<(u16, Vec<u8>)>;
+
+struct Request {
+    method: String,
+    target: String,
+    body: Vec<u8>,
+}
+
+fn read_request(stream: &mut TcpStream) -> Option<Request> {
+    stream.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
+    let mut bytes = Vec::new();
+    let mut buf = [0; 8192];
+    loop {
+        if let Some(at) = bytes.windows(4).position(|w| w == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&bytes[..at]).into_owned();
+            let lower = head.to_ascii_lowercase();
+            let length = lower.lines().find_map(|l| l.strip_prefix("content-length: "));
+            let length: usize = length.and_then(|l| l.parse().ok()).unwrap_or(0);
+            if bytes.len() >= at + 4 + length {
+                let mut words = head.split(' ');
+                let method = words.next()?.to_string();
+                let target = words.next()?.to_string();
+                return Some(Request { method, target, body: bytes[at + 4..].to_vec() });
+            }
+        }
+        match stream.read(&mut buf) {
+            Ok(n) if n > 0 => bytes.extend_from_slice(&buf[..n]),
+            _ => return None,
+        }
+    }
+}
+
+/// Serves until the test process ends.
+fn serve(handle: impl Fn(Request) -> Answer + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let handle = Arc::new(handle);
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { continue };
+            let handle = Arc::clone(&handle);
+            thread::spawn(move || {
+                let Some((status, body)) = read_request(&mut stream).and_then(|r| handle(r)) else {
+                    return;
+                };
+                let length = body.len();
+                let head = format!(
+                    "HTTP/1.1 {status} Status\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n"
+                );
+                let _ = stream.write_all(&[head.as_bytes(), &body].concat());
+            });
+        }
+    });
+    addr
+}
+
+#[derive(Default)]
+struct Tables {
+    rows: BTreeMap<String, (Value, u64)>,
+    objects: BTreeMap<String, Vec<u8>>,
+    revision: u64,
+    lose_transactions: u32,
+    down: bool,
+    down_after_transaction: bool,
+}
+
+/// The platform.
+pub(crate) struct HttpPlatformFake {
+    pub(crate) addr: SocketAddr,
+    tables: Arc<Mutex<Tables>>,
+}
+
+fn json_answer(status: u16, value: &Value) -> Answer {
+    Some((status, value.to_string().into_bytes()))
+}
+
+impl Tables {
+    fn transact(&mut self, body: &[u8]) -> Answer {
+        let request: Value = serde_json::from_slice(body).expect("a transaction");
+        let list = |name: &str| request[name].as_array().cloned().unwrap_or_default();
+        let mut conflicts = Vec::new();
+        for condition in list("conditions") {
+            let key = condition["key"].as_str().unwrap_or_default();
+            let found = self.rows.get(key);
+            if found.map(|(_, r)| *r) != condition["revision"].as_u64() {
+                let (value, revision) = (found.map(|f| &f.0), found.map(|f| f.1));
+                conflicts.push(json!({"key": key, "revision": revision, "value": value}));
+            }
+        }
+        if !conflicts.is_empty() {
+            return json_answer(409, &json!({"committed": false, "conflicts": conflicts}));
+        }
+        self.revision += 1;
+        let mut revisions = serde_json::Map::new();
+        for put in list("puts") {
+            let key = put["key"].as_str().unwrap_or_default().to_string();
+            revisions.insert(key.clone(), json!(self.revision));
+            self.rows.insert(key, (put["value"].clone(), self.revision));
+        }
+        self.down = self.down_after_transaction;
+        if self.lose_transactions > 0 {
+            self.lose_transactions -= 1;
+            return None;
+        }
+        json_answer(200, &json!({"committed": true, "revisions": revisions}))
+    }
+
+    fn row(&self, key: &str) -> Answer {
+        match self.rows.get(key) {
+            None => json_answer(404, &json!({})),
+            Some((value, revision)) => {
+                json_answer(200, &json!({"key": key, "value": value, "revision": revision}))
+            }
+        }
+    }
+
+    fn scan(&self, query: &str) -> Answer {
+        let parameter = |name: &str| {
+            let of_name = |pair: &str| pair.strip_prefix(name)?.strip_prefix('=').map(String::from);
+            query.split('&').find_map(of_name).unwrap_or_default()
+        };
+        let (prefix, after) = (parameter("prefix"), parameter("after"));
+        let limit: usize = parameter("limit").parse().expect("a limit");
+        let found = self.rows.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > after);
+        let row = |(key, (value, revision)): (&String, &(Value, u64))| json!({"key": key, "value": value, "revision": revision});
+        let rows: Vec<Value> = found.take(limit).map(row).collect();
+        json_answer(200, &json!({"rows": rows}))
+    }
+
+    fn handle(&mut self, request: &Request) -> Answer {
+        if self.down {
+            return json_answer(503, &json!({}));
+        }
+        let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
+        match (request.method.as_str(), path) {
+            ("POST", "/table/transact") => self.transact(&request.body),
+            ("GET", "/table/row") => self.row(query.strip_prefix("key=").expect("a key")),
+            ("GET", "/table/scan") => self.scan(query),
+            ("PUT", name) => {
+                let found = self.objects.insert(name.to_string(), request.body.clone());
+                Some((if found.is_some() { 200 } else { 201 }, Vec::new()))
+            }
+            ("GET", name) => match self.objects.get(name) {
+                Some(bytes) => Some((200, bytes.clone())),
+                None => Some((404, Vec::new())),
+            },
+            _ => Some((400, Vec::new())),
+        }
+    }
+}
+
+impl HttpPlatformFake {
+    pub(crate) fn start() -> Self {
+        let tables = Arc::new(Mutex::new(Tables::default()));
+        let shared = Arc::clone(&tables);
+        let addr = serve(move |request| shared.lock().expect("the lock").handle(&request));
+        Self { addr, tables }
+    }
+
+    /// Drops the answers of the next transactions, after they took effect.
+    pub(crate) fn lose_transactions(&self, count: u32) {
+        self.tables.lock().expect("the lock").lose_transactions = count;
+    }
+
+    /// Starts an outage after the next transaction.
+    pub(crate) fn go_down_after_transaction(&self) {
+        self.tables.lock().expect("the lock").down_after_transaction = true;
+    }
+
+    /// Starts an outage.
+    pub(crate) fn go_down(&self) {
+        self.tables.lock().expect("the lock").down = true;
+    }
+
+    /// Writes a row.
+    pub(crate) fn put_row(&self, key: &str, value: Value) {
+        let mut tables = self.tables.lock().expect("the lock");
+        tables.revision += 1;
+        let revision = tables.revision;
+        tables.rows.insert(key.to_string(), (value, revision));
+    }
+
+    /// Keys of all rows.
+    pub(crate) fn keys(&self) -> Vec<String> {
+        self.tables.lock().expect("the lock").rows.keys().cloned().collect()
+    }
+}
+
+/// A node that serves fixed documents.
+#[derive(Clone)]
+pub(crate) struct NodeFake {
+    pub(crate) addr: SocketAddr,
+    pages: Arc<Mutex<BTreeMap<String, Vec<Value>>>>,
+}
+
+impl NodeFake {
+    pub(crate) fn start() -> Self {
+        let pages: Arc<Mutex<BTreeMap<String, Vec<Value>>>> = Arc::default();
+        let shared = Arc::clone(&pages);
+        let addr = serve(move |request| {
+            let mut pages = shared.lock().expect("the lock");
+            let Some(answers) = pages.get_mut(&request.target) else {
+                return json_answer(404, &json!({}));
+            };
+            let answer = answers[0].clone();
+            if answers.len() > 1 {
+                answers.remove(0);
+            }
+            json_answer(200, &answer)
+        });
+        Self { addr, pages }
+    }
+
+    /// Serves `answers` at `path`, one after the other; the last one stays.
+    pub(crate) fn page(&self, path: &str, answers: Vec<Value>) {
+        self.pages.lock().expect("the lock").insert(path.to_string(), answers);
+    }
+}
+
+/// Record of a node as `/members` shows it.
+pub(crate) fn member(name: &str, status: &str, admin: SocketAddr) -> Value {
+    let other = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
+    json!({"node": name, "incarnation": 1, "revision": 1, "status": status,
+        "data_centre": "swakop-a", "region": "erongo", "targets": [],
+        "addresses": {"control": other, "peer": other, "caller": other, "admin": admin}})
+}
+
+/// Status of a node.
+pub(crate) fn status(name: &str, version: u64) -> Value {
+    json!({"node": name, "data_centre": "swakop-a", "region": "erongo", "state": "serving",
+        "version": version, "digest": null, "head_version": version, "rejected": null,
+        "members": {"alive": 2, "suspect": 0, "dead": 0, "left": 0},
+        "targets": [{"instance": "counter-1", "service": "counter", "version": "v1",
+                     "state": "Ready", "slots": 10, "in_flight": 3}]})
+}
--- /dev/null
+++ b/crates/ibisroute/tests/ctl_times.rs
@@ -0,0 +1,60 @@
+//! Points in time on the command line.
+
+use ibisroute::ctl::times::format_time;
+use ibisroute::ctl::times::parse_time;
+use ibisroute::types::UnixMillis;
+
+const NOW: UnixMillis = UnixMillis(1_764_820_000_000);
+const START: UnixMillis = UnixMillis(1_764_820_060_000);
+
+/// Guards against a move that starts or ends at another time than the operator wrote.
+#[test]
+fn accepted_forms() {
+    let cases = [
+        ("now", NOW.0),
+        ("+90s", START.0 + 90_000),
+        ("+20m", START.0 + 1_200_000),
+        ("+2h", START.0 + 7_200_000),
+        ("1764820000000", NOW.0),
+        ("2025-12-04T03:46:40Z", NOW.0),
+        ("2024-02-29T00:00:00Z", 1_709_164_800_000),
+        ("1970-01-01T00:00:00Z", 0),
+    ];
+    for (s, expected) in cases {
+        assert_eq!(parse_time(s, NOW, START), Some(UnixMillis(expected)), "{s}");
+    }
+}
+
+/// Guards against a text that is no time but is taken for one.
+#[test]
+fn refused_forms() {
+    let cases = [
+        "",
+        "+",
+        "+20",
+        "+m",
+        "+20d",
+        "soon",
+        "2025-12-04",
+        "2025-12-04T03:46:40",
+        "2025-02-29T00:00:00Z",
+        "2025-13-01T00:00:00Z",
+        "2025-12-04T24:00:00Z",
+        "1969-12-31T23:59:59Z",
+        "+99999999999999999999h",
+        "+2ü",
+    ];
+    for s in cases {
+        assert_eq!(parse_time(s, NOW, START), None, "{s:?}");
+    }
+}
+
+/// Guards against days that the calendar code gets wrong around month ends and leap years.
+#[test]
+fn days_survive_both_ways() {
+    for day in 0..60_000 {
+        let time = UnixMillis(day * 86_400_000 + 86_399_000);
+        let shown = format_time(time);
+        assert_eq!(parse_time(&shown, NOW, NOW), Some(time), "{shown}");
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/tests/ibisctl_commands.rs
@@ -0,0 +1,452 @@
+//! `ibisctl` as a process: outcomes and exit codes.
+
+#[path = "common/http_fakes.rs"]
+mod http_fakes;
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+use std::thread;
+
+use http_fakes::HttpPlatformFake;
+use http_fakes::NodeFake;
+use http_fakes::member;
+use http_fakes::status;
+use serde_json::Value;
+use serde_json::json;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+
+fn example(name: &str) -> String {
+    format!("{}/../../examples/{name}.json", env!("CARGO_MANIFEST_DIR"))
+}
+
+fn command(args: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ibisctl"));
+    command.args(args).stdin(Stdio::null());
+    command
+}
+
+fn run(args: &[&str]) -> Output {
+    command(args).output().expect("ibisctl runs")
+}
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+fn stderr(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+/// Runs and expects an exit code; returns the output for further checks.
+fn expect(code: i32, args: &[&str]) -> Output {
+    let output = run(args);
+    let (out, err) = (stdout(&output), stderr(&output));
+    assert_eq!(output.status.code(), Some(code), "{args:?}\nstdout: {out}\nstderr: {err}");
+    output
+}
+
+/// A platform and the options that point to it.
+struct Setup {
+    platform: HttpPlatformFake,
+    addr: String,
+}
+
+impl Setup {
+    fn new() -> Self {
+        let platform = HttpPlatformFake::start();
+        let addr = platform.addr.to_string();
+        Self { platform, addr }
+    }
+
+    fn expect(&self, code: i32, args: &[&str]) -> Output {
+        let global = ["--platform", &self.addr, "--retry-s", "1"];
+        expect(code, &[&global, args].concat())
+    }
+
+    fn apply(&self, code: i32, file: &str, base: &str) -> Output {
+        self.expect(code, &["catalogue", "apply", file, "--author", "ana", "--base", base])
+    }
+
+    fn document(&self) -> Value {
+        let output = self.expect(0, &["--output", "json", "catalogue", "show"]);
+        serde_json::from_slice(&output.stdout).expect("a document")
+    }
+}
+
+fn scratch_file(name: &str, content: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, content).expect("a scratch file");
+    path
+}
+
+fn invalid_file() -> String {
+    let text = std::fs::read_to_string(example("kuiseb")).expect("the example");
+    let text = text.replace("\"deadline_ms\": 800", "\"deadline_ms\": 0");
+    let text = text.replace("\"class\": \"upload\"", "\"class\": \"scan\"");
+    scratch_file("invalid.json", &text).display().to_string()
+}
+
+/// A port that refuses connections. It stays bound, so that no other server gets it.
+struct ClosedPort {
+    addr: SocketAddr,
+    _socket: Socket,
+}
+
+fn closed_port() -> ClosedPort {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).expect("a port");
+    let addr = socket.local_addr().ok().and_then(|addr| addr.as_socket()).expect("an address");
+    ClosedPort { addr, _socket: socket }
+}
+
+/// Guards against examples that the released parser rejects.
+#[test]
+fn examples_are_valid() {
+    for name in ["kuiseb", "koperasi"] {
+        let output = expect(0, &["catalogue", "check", &example(name)]);
+        assert!(stdout(&output).contains("2 services, 5 entries, 0 moves"), "{}", stdout(&output));
+    }
+}
+
+/// Guards against a command without help or examples.
+#[test]
+fn every_command_has_examples() {
+    let commands: [&[&str]; 17] = [
+        &[],
+        &["catalogue"],
+        &["catalogue", "check"],
+        &["catalogue", "diff"],
+        &["catalogue", "apply"],
+        &["catalogue", "show"],
+        &["catalogue", "history"],
+        &["move"],
+        &["move", "declare"],
+        &["move", "list"],
+        &["move", "show"],
+        &["move", "watch"],
+        &["status"],
+        &["report"],
+        &["report", "burn"],
+        &["events"],
+        &["completions"],
+    ];
+    for path in commands {
+        let output = expect(0, &[path, &["--help"]].concat());
+        assert!(stdout(&output).contains("Examples:\n  ibisctl "), "{path:?}");
+    }
+    let output = expect(0, &["completions", "bash"]);
+    assert!(stdout(&output).contains("declare"));
+}
+
+/// Guards against a wrong command line that looks like another failure or does something.
+#[test]
+fn usage_errors_exit_2() {
+    let file = example("kuiseb");
+    expect(2, &[]);
+    expect(2, &["catalogue", "publish"]);
+    expect(2, &["--platform", "localhost", "catalogue", "history"]);
+    expect(2, &["catalogue", "history"]);
+    expect(2, &["status"]);
+    expect(2, &["catalogue", "apply", &file]);
+    expect(2, &["catalogue", "show", "18446744073709551615"]);
+    let setup = Setup::new();
+    setup.expect(2, &["catalogue", "apply", &file, "--author", "ana", "--wait"]);
+    let declare = ["move", "declare", "--service", "counter", "--to", "v2", "--id", "counter-v2"];
+    let times = ["--start", "soon", "--finish-by", "+20m", "--author", "ana"];
+    setup.expect(2, &[&declare[..], &times].concat());
+    assert!(setup.platform.keys().is_empty());
+}
+
+/// Guards against an invalid catalogue that is written, and against errors reported one by one.
+#[test]
+fn invalid_catalogue_exits_3() {
+    let file = invalid_file();
+    let setup = Setup::new();
+    let output = setup.apply(3, &file, "0");
+    let errors = stderr(&output);
+    assert!(errors.contains("entries[0].limits.deadline_ms: 0 is not allowed"), "{errors}");
+    assert!(errors.contains("entries[3].class: \"scan\" is not allowed"), "{errors}");
+    assert!(setup.platform.keys().is_empty());
+    let output = expect(3, &["--output", "json", "catalogue", "check", &file]);
+    let value: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(value["errors"][1]["path"], "entries[3].class");
+}
+
+/// Guards against other failures that look like an unavailable platform or a usage error.
+#[test]
+fn other_failures_exit_1() {
+    expect(1, &["catalogue", "check", "/no/such/file.json"]);
+    let closed = closed_port();
+    expect(1, &["--node", &closed.addr.to_string(), "status"]);
+    let setup = Setup::new();
+    setup.expect(1, &["catalogue", "show"]);
+    setup.expect(1, &["catalogue", "show", "7"]);
+}
+
+/// Guards against a version that cannot be read back as it was applied.
+#[test]
+fn applied_version_is_shown() {
+    let setup = Setup::new();
+    let output = setup.apply(0, &example("kuiseb"), "0");
+    assert_eq!(stdout(&output), "accepted as version 1\n");
+    setup.apply(0, &example("koperasi"), "1");
+    let output = setup.expect(0, &["catalogue", "show", "1"]);
+    let shown = scratch_file("shown.json", &stdout(&output)).display().to_string();
+    let output = setup.expect(0, &["catalogue", "diff", &shown, "--against", "1"]);
+    assert_eq!(stdout(&output), "no difference\n");
+    let output = setup.expect(0, &["catalogue", "diff", &shown]);
+    assert!(stdout(&output).contains("+ service counter"), "{}", stdout(&output));
+    let output = setup.expect(0, &["catalogue", "history"]);
+    assert_eq!(stdout(&output).lines().count(), 3, "{}", stdout(&output));
+}
+
+/// Guards against a conflict that overwrites the other version or the loser's file, or that does
+/// not show the difference.
+#[test]
+fn conflict_exits_4() {
+    let setup = Setup::new();
+    setup.apply(0, &example("kuiseb"), "0");
+    let text = std::fs::read_to_string(example("kuiseb")).expect("the example");
+    let text = text.replace("\"deadline_ms\": 800", "\"deadline_ms\": 900");
+    let file = scratch_file("loser.json", &text);
+    let output = setup.apply(4, &file.display().to_string(), "0");
+    assert!(stderr(&output).contains("the head is version 1 by ana"), "{}", stderr(&output));
+    assert!(stdout(&output).contains("limits.deadline_ms: 800 -> 900"), "{}", stdout(&output));
+    assert_eq!(std::fs::read_to_string(&file).expect("the file"), text);
+    assert_eq!(setup.platform.keys(), ["head", "history/000000000001"]);
+}
+
+/// Guards against two operators at the same time who both believe that they won.
+#[test]
+fn racing_processes_have_one_winner() {
+    for _ in 0..5 {
+        let setup = Setup::new();
+        let start = |name: &str| {
+            let args = ["--platform", &setup.addr, "catalogue", "apply", &example(name)];
+            let rest = ["--author", name, "--base", "0"];
+            command(&[&args[..], &rest].concat())
+                .stdout(Stdio::null())
+                .stderr(Stdio::null())
+                .spawn()
+                .expect("ibisctl starts")
+        };
+        let children = [start("kuiseb"), start("koperasi")];
+        let mut codes =
+            children.map(|mut child| child.wait().expect("ibisctl ends").code().unwrap_or(-1));
+        codes.sort_unstable();
+        assert_eq!(codes, [0, 4]);
+        assert_eq!(setup.platform.keys(), ["head", "history/000000000001"]);
+    }
+}
+
+/// Guards against a lost answer that is reported as a conflict, or applied twice.
+#[test]
+fn lost_answer_is_resolved() {
+    let setup = Setup::new();
+    setup.platform.lose_transactions(1);
+    setup.apply(0, &example("kuiseb"), "0");
+    assert_eq!(setup.platform.keys(), ["head", "history/000000000001"]);
+}
+
+/// Guards against an outage that looks like success, and against an unknown outcome that is
+/// reported as not applied.
+#[test]
+fn unavailable_platform_exits_6() {
+    let setup = Setup::new();
+    setup.platform.lose_transactions(1);
+    setup.platform.go_down_after_transaction();
+    let output = setup.apply(6, &example("kuiseb"), "0");
+    assert!(stderr(&output).contains("it is unknown whether version 1"), "{}", stderr(&output));
+    let setup = Setup::new();
+    setup.platform.go_down();
+    let output = setup.apply(6, &example("kuiseb"), "0");
+    assert!(stderr(&output).contains("nothing was applied"), "{}", stderr(&output));
+    let closed = closed_port();
+    let addr = closed.addr.to_string();
+    expect(6, &["--platform", &addr, "--retry-s", "0", "catalogue", "history"]);
+}
+
+/// Two nodes that know each other, and a dead third one.
+fn fleet() -> [NodeFake; 2] {
+    let nodes = [NodeFake::start(), NodeFake::start()];
+    let members = json!({"local": "node-a", "members": [
+        member("node-a", "Alive", nodes[0].addr),
+        member("node-b", "Suspect", nodes[1].addr),
+        member("node-c", "Dead", nodes[0].addr),
+    ]});
+    nodes[0].page("/members", vec![members]);
+    nodes[0].page("/status", vec![status("node-a", 1)]);
+    nodes
+}
+
+fn apply_and_wait(setup: &Setup, node: &NodeFake, code: i32) -> Output {
+    let node = node.addr.to_string();
+    let file = example("kuiseb");
+    let args = ["--node", &node, "catalogue", "apply", &file, "--author", "ana", "--wait"];
+    setup.expect(code, &[&args[..], &["--timeout-s", "2"]].concat())
+}
+
+/// Guards against returning before every live node has the version, and against waiting for dead
+/// nodes.
+#[test]
+fn wait_ends_when_in_force() {
+    let nodes = fleet();
+    let slow = vec![status("node-b", 0), status("node-b", 0), status("node-b", 1)];
+    nodes[1].page("/status", slow);
+    let output = apply_and_wait(&Setup::new(), &nodes[0], 0);
+    let progress = "version 1 is in force on 1 of 2 nodes\nversion 1 is in force on 2 of 2 nodes\n";
+    assert_eq!(stderr(&output), progress);
+}
+
+/// Guards against an operator who does not learn which nodes lack the version.
+#[test]
+fn missing_nodes_exit_5() {
+    let nodes = fleet();
+    nodes[1].page("/status", vec![status("node-b", 0)]);
+    let output = apply_and_wait(&Setup::new(), &nodes[0], 5);
+    let err = stderr(&output);
+    assert!(err.contains("missing 1 of 2 nodes:\n  node-b: has version 0"), "{err}");
+    let mut rejecting = status("node-b", 0);
+    rejecting["rejected"] = json!({"version": 1, "reason": "unknown class"});
+    nodes[1].page("/status", vec![rejecting]);
+    let output = apply_and_wait(&Setup::new(), &nodes[0], 5);
+    assert!(stderr(&output).contains("node-b: rejected it: unknown class"));
+}
+
+/// Declares a move of the counter service.
+fn declare(setup: &Setup, code: i32, id: &str, to: &str) -> Output {
+    let args = ["move", "declare", "--service", "counter", "--to", to, "--id", id];
+    let times = ["--start", "now", "--finish-by", "+20m", "--author", "ana"];
+    setup.expect(code, &[&args[..], &times].concat())
+}
+
+/// Guards against a move that replaces one that is still running, and against a service that keeps
+/// its old version after a finished move.
+#[test]
+fn moves_follow_their_outcomes() {
+    let setup = Setup::new();
+    setup.apply(0, &example("kuiseb"), "0");
+    declare(&setup, 0, "counter-v2", "v2");
+    let output = declare(&setup, 1, "counter-v3", "v3");
+    assert!(stderr(&output).contains("neither finished nor been taken back"), "{output:?}");
+    let outcome = json!({"outcome": "finished", "reason": "", "unix_ms": 1, "by": "node-a"});
+    setup.platform.put_row("move/counter-v2/outcome", outcome);
+    declare(&setup, 0, "counter-v3", "v3");
+    let doc = setup.document();
+    assert_eq!(doc["services"][0]["version"], "v2");
+    assert_eq!(doc["moves"].as_array().map(Vec::len), Some(1));
+    assert_eq!(
+        (&doc["moves"][0]["id"], &doc["moves"][0]["from"]),
+        (&json!("counter-v3"), &json!("v2"))
+    );
+    let outcome = json!({"outcome": "taken_back", "reason": "5xx", "unix_ms": 1, "by": "node-a"});
+    setup.platform.put_row("move/counter-v3/outcome", outcome);
+    declare(&setup, 0, "counter-v4", "v4");
+    let doc = setup.document();
+    assert_eq!(doc["services"][0]["version"], "v2");
+    assert_eq!(
+        (&doc["moves"][0]["id"], &doc["moves"][0]["from"]),
+        (&json!("counter-v4"), &json!("v2"))
+    );
+}
+
+/// Guards against an id that is used twice, whose old outcome would decide the new move, and
+/// against a move to the version that has the traffic.
+#[test]
+fn bad_declarations_write_nothing() {
+    let setup = Setup::new();
+    setup.apply(0, &example("kuiseb"), "0");
+    let outcome = json!({"outcome": "taken_back", "reason": "", "unix_ms": 1, "by": "node-a"});
+    setup.platform.put_row("move/counter-v2/outcome", outcome);
+    let output = declare(&setup, 1, "counter-v2", "v2");
+    assert!(stderr(&output).contains("was used before"), "{}", stderr(&output));
+    let output = declare(&setup, 3, "counter-v1", "v1");
+    assert!(stderr(&output).contains("moves[0].to"), "{}", stderr(&output));
+    assert!(!setup.platform.keys().contains(&"history/000000000002".to_string()));
+}
+
+fn burn(calls: u64, bad: u64, slow_bucket: usize) -> Value {
+    let mut buckets = vec![0; 40];
+    buckets[slow_bucket] = calls;
+    let window = json!({"calls": calls, "bad": bad});
+    json!({"entries": [{"entry": "sheet-query", "owner": "o", "calls": calls, "failures": bad,
+        "refused": 1, "slow": 0, "success_objective_percent": 99.0, "latency_objective_ms": 250,
+        "budget_left_percent": 1.0, "burn_5m": 9.0, "burn_1h": 9.0, "burn_30m": 9.0,
+        "burn_6h": 9.0, "p50_ms": 1.0, "p99_ms": 1.0, "alert": null,
+        "windows": {"5m": window, "1h": window, "30m": window, "6h": window},
+        "latency_buckets": buckets}]})
+}
+
+/// Guards against rates and quantiles that are averaged over nodes of unequal load.
+#[test]
+fn burn_merges_counts() {
+    let nodes = fleet();
+    nodes[0].page("/report/burn", vec![burn(100, 80, 20)]);
+    nodes[1].page("/report/burn", vec![burn(300, 0, 4)]);
+    let addr = nodes[0].addr.to_string();
+    let output = expect(0, &["--node", &addr, "--output", "json", "report", "burn"]);
+    let value: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    let entry = &value["entries"][0];
+    assert_eq!(
+        (&entry["calls"], &entry["failures"], &entry["refused"]),
+        (&json!(400), &json!(80), &json!(2))
+    );
+    let rate = entry["burn_5m"].as_f64().expect("a rate");
+    assert!((rate - 20.0).abs() < 1e-9, "80 of 400 against 1%: {rate}");
+    assert_eq!(entry["alert"], "page");
+    for (quantile, expected) in [("p50_ms", 1.0), ("p99_ms", 256.0)] {
+        let ms = entry[quantile].as_f64().expect("a quantile");
+        assert!((ms - expected).abs() < 1e-6, "{quantile}: {ms}");
+    }
+    nodes[1].page("/report/burn", vec![json!("broken")]);
+    let output = expect(0, &["--node", &addr, "report", "burn"]);
+    assert!(stderr(&output).contains("the report lacks node-b"), "{}", stderr(&output));
+}
+
+fn move_page(stage: u8, finished: bool) -> Value {
+    json!({"moves": [{"id": "counter-v2", "service": "counter", "from": "v1", "to": "v2",
+        "stage": stage, "share": 0.25, "withdrawn": false, "finished": finished, "reason": null,
+        "start_unix_ms": 1_764_820_000_000_u64, "finish_by_unix_ms": 1_764_820_600_000_u64}]})
+}
+
+/// Guards against queries that do not follow the shapes of the admin interface.
+#[test]
+fn node_queries_are_read() {
+    let node = NodeFake::start();
+    let addr = node.addr.to_string();
+    node.page("/status", vec![status("node-a", 12)]);
+    let output = expect(0, &["--node", &addr, "status"]);
+    assert!(stdout(&output).contains("counter-1  counter  v1       ready  3 of 10"), "{output:?}");
+
+    node.page("/moves", vec![move_page(3, false)]);
+    let output = expect(0, &["--node", &addr, "move", "list"]);
+    assert!(stdout(&output).contains("25%    running  2025-12-04T03:56:40Z"), "{output:?}");
+    expect(0, &["--node", &addr, "move", "show", "counter-v2"]);
+    expect(1, &["--node", &addr, "move", "show", "counter-v9"]);
+
+    let event = json!({"sequence": 8, "unix_ms": 0, "number": 8001, "name": "n", "level": "error",
+        "detail": "d"});
+    node.page("/events?after=7", vec![json!({"events": [event]})]);
+    let output = expect(0, &["--node", &addr, "events", "--after", "7"]);
+    assert_eq!(stdout(&output), "8 1970-01-01T00:00:00Z error [8001] n: d\n");
+}
+
+/// Guards against a watch that never ends, or that hides a change.
+#[test]
+fn watch_ends_with_the_move() {
+    let node = NodeFake::start();
+    let pages = vec![move_page(1, false), move_page(1, false), move_page(5, true)];
+    node.page("/moves", pages);
+    let addr = node.addr.to_string();
+    let watch = thread::spawn(move || expect(0, &["--node", &addr, "move", "watch", "counter-v2"]));
+    let output = watch.join().expect("watch ends");
+    let lines: Vec<String> = stdout(&output).lines().map(String::from).collect();
+    assert_eq!(lines.len(), 2, "{lines:?}");
+    assert!(lines[1].contains("finished"), "{lines:?}");
+}
--- a/crates/ibisroute/tests/platform_client.rs
+++ b/crates/ibisroute/tests/platform_client.rs
@@ -19,6 +19,9 @@
 use ibisroute::platform::model::Stored;
 use ibisroute::platform::model::Transaction;
 use ibisroute::platform::platform_settings::PlatformSettings;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 
 /// Serves one connection with one answer and returns the request that it read.
 struct OneAnswer {
@@ -149,9 +152,10 @@
         let outcome = server.client().transact(Transaction::default()).await;
         assert!(matches!(outcome, Err(PlatformError::Refused(_))), "{status}: {outcome:?}");
     }
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
-    let addr = listener.local_addr().expect("an address");
-    drop(listener);
+    // The socket stays bound and does not listen, so that no other server gets the port.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).expect("a port");
+    let addr = socket.local_addr().ok().and_then(|addr| addr.as_socket()).expect("an address");
     let outcome = client(addr).transact(Transaction::default()).await;
     assert!(matches!(outcome, Err(PlatformError::Refused(_))), "no listener: {outcome:?}");
 }
