Add the quick-start program

Cause: one command has to show the whole system at work. Change: quickstart starts six nodes in two data centres with their targets, applies a catalogue through ibisctl, serves calls of its entries, moves the service counter to v2, prints both reports and checks that no call failed. Conclusion: the command lines of ibisctl in it are assumptions until the node is wired.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod harness;
 pub mod http;
 pub mod platform;
+pub mod programs;
 pub mod relay;
 mod server;
 pub mod target;
--- a/crates/standins/src/target/mod.rs
+++ b/crates/standins/src/target/mod.rs
@@ -275,7 +275,7 @@
 }
 
 /// Unix time in ms.
-pub(crate) fn unix_ms() -> u64 {
+pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
 }
 
