--- a/crates/ibisroute/src/moves/move_settings.rs
+++ b/crates/ibisroute/src/moves/move_settings.rs
@@ -46,6 +46,9 @@
     /// Slow calls are ignored for this long after the first call on the new version; a tenth of
     /// the move when that is shorter.
     pub warm_up: Millis,
+    /// Slow calls are also ignored among this many first calls for each target of the new version,
+    /// but not beyond the second stage.
+    pub warm_up_calls: u64,
     /// Slow calls are ignored for this long after a stage begins; a fiftieth of the move when that
     /// is shorter.
     pub stage_warm_up: Millis,
@@ -82,10 +85,11 @@
             push_again: Millis(100),
             first_stage_rate: 50.0,
             last_stage_percent: 70.0,
-            hold_back_percent: 5.0,
+            hold_back_percent: 10.0,
             min_stage_calls: 30,
             min_stage: Millis(10_000),
             warm_up: Millis(15_000),
+            warm_up_calls: 10,
             stage_warm_up: Millis(3_000),
             settle: Millis(500),
             local_stop: Millis(5_000),
--- a/crates/ibisroute/src/moves/verdict.rs
+++ b/crates/ibisroute/src/moves/verdict.rs
@@ -32,18 +32,33 @@
 /// Consecutive failures over the fleet that make a suspicion, for all thresholds.
 const RUN_LENGTH: u64 = 5;
 
-/// Longest wait for calls of the old version when more than half of the calls are bad. With the
+/// Share of bad calls above which the wait is short.
+const GROSS: f64 = 0.6;
+
+/// Longest wait for calls of the old version when most calls are bad. With the
 /// evidence interval it keeps a withdrawal below one second.
 const WAIT_GROSS_MS: u64 = 600;
 
 /// Longest wait for calls of the old version when fewer calls are bad.
 const WAIT_SLIGHT_MS: u64 = 3_000;
 
-/// Chance at which the old version counts as clearly better.
-const CLEAR: f64 = 0.05;
+/// Log-likelihood ratio at which the old version counts as clearly better. The ratio is a
+/// martingale when the same cause hits both versions, so that looking at it again and again exceeds
+/// this with a chance of at most 0.5%.
+const CLEAR: f64 = 5.3;
+
+/// Log-likelihood ratio that decides an open suspicion at the end of the move.
+const LEANING: f64 = 0.5;
+
+/// Share of the new version's bad calls that the old version must clearly stay below. A cause that
+/// hits both does not hit them equally.
+const BETTER: f64 = 0.7;
+
+/// Expected bad calls of the old version below which its calls say nothing.
+const FEW_EXPECTED: f64 = 1.0;
 
-/// Expected bad calls of the old version below which its calls say too little.
-const FEW_EXPECTED: f64 = 3.0;
+/// Longest time before a suspicion from which the versions are compared.
+const LOOK_BACK_MS: u64 = 10_000;
 
 /// Calls of the old version before its own latency sets the limit for slow calls.
 const LATENCY_CALLS: u64 = 50;
@@ -127,12 +142,15 @@
     run: u64,
     run_at: Millis,
     run_crossed_at: Option<Millis>,
+    /// First call on the new version; kept for all entries together.
     first_new: Option<Millis>,
     latency: LatencyHistogram,
     latency_calls: u64,
     slow_bucket: Option<usize>,
     peak_old_calls: u64,
     new_calls: u64,
+    /// When the present stage began.
+    stage_at: Millis,
 }
 
 impl Watch {
@@ -167,7 +185,6 @@
     }
 
     fn add_new(&mut self, now: Millis, tally: &Tally) {
-        self.first_new.get_or_insert(now);
         self.pending.add(tally);
         self.slot(now).new.add(tally);
         let (ran, failed) = tally.of(Fault::Failures);
@@ -186,16 +203,19 @@
         self.run += failed;
     }
 
-    /// The old version's share of bad calls: the larger of the share over the whole move and the
-    /// present one.
-    fn expected_share(&self, now: Millis, fault: Fault) -> f64 {
+    /// The old version's share of bad calls over the whole move.
+    fn usual_share(&self, fault: Fault) -> f64 {
         let (calls, bad) = self.baseline.of(fault);
-        let whole = (bad as f64 + 0.5) / (calls as f64 + 50.0);
+        let floor = if fault == Fault::Failures { 0.002 } else { 0.01 };
+        ((bad as f64 + 0.5) / (calls as f64 + 50.0)).max(floor)
+    }
+
+    /// The larger of the old version's usual and present share of bad calls.
+    fn expected_share(&self, now: Millis, fault: Fault) -> f64 {
         let (recent, _) = self.window(Millis(now.0.saturating_sub(RECENT_MS)));
         let (calls, bad) = recent.of(fault);
         let present = if calls < RECENT_CALLS { 0.0 } else { bad as f64 / calls as f64 };
-        let floor = if fault == Fault::Failures { 0.002 } else { 0.01 };
-        whole.max(present).max(floor)
+        self.usual_share(fault).max(present)
     }
 
     fn advance(&mut self, now: Millis, thresholds: &Thresholds, together: bool) {
@@ -235,30 +255,52 @@
     }
 
     /// Whether the old version did clearly better since `rise`; `None` while that is open.
-    fn confirm(&self, now: Millis, fault: Fault, rise: Millis, crossed: Millis) -> Option<f64> {
-        let (old, new) = self.window(rise);
+    ///
+    /// The calls of the old version on all entries (`all`) take part when this entry has few: a
+    /// cause that hits both versions shows there as well, and a fault on one entry does not.
+    fn confirm(
+        &self,
+        now: Millis,
+        fault: Fault,
+        rise: Millis,
+        crossed: Millis,
+        all: Option<&Watch>,
+        clear_at: f64,
+    ) -> Option<f64> {
+        // While the share changes, the versions get their calls at different times. A cause that
+        // comes and goes would then hit them unequally, so that only the present stage compares.
+        let from = rise.max(self.stage_at).max(Millis(crossed.0.saturating_sub(LOOK_BACK_MS)));
+        let (old, new) = self.window(from);
         let (new_calls, new_bad) = new.of(fault);
-        if new_calls == 0 {
+        if new_bad == 0 {
             return None;
         }
+        let (old_calls, old_bad) = match all {
+            Some(all) if old.of(fault).0 < all.window(from).0.of(fault).0 / 2 => {
+                all.window(from).0.of(fault)
+            }
+            _ => old.of(fault),
+        };
         let share = new_bad as f64 / new_calls as f64;
-        let (old_calls, old_bad) = old.of(fault);
-        let better = share / 2.0;
-        if old_bad as f64 > better * old_calls as f64 {
-            return None;
-        }
-        if binomial_at_most(old_calls, old_bad, better) <= CLEAR {
+        let common = BETTER * new_bad as f64 / (new_calls + 1) as f64;
+        let usual = self.usual_share(fault).min(common / 2.0);
+        let clear = old_bad as f64 * (usual / common).ln()
+            + (old_calls - old_bad) as f64 * ((1.0 - usual) / (1.0 - common)).ln();
+        if clear >= clear_at {
             return Some(share);
         }
-        let wait = if share >= 0.5 { WAIT_GROSS_MS } else { WAIT_SLIGHT_MS };
-        let few = old_calls as f64 * better < FEW_EXPECTED;
-        (few && now.since(crossed).0 >= wait).then_some(share)
+        let wait = if share >= GROSS { WAIT_GROSS_MS } else { WAIT_SLIGHT_MS };
+        let silent = old_bad == 0 && old_calls as f64 * common < FEW_EXPECTED;
+        (silent && now.since(crossed).0 >= wait).then_some(share)
     }
 
-    fn verdict(&self, now: Millis) -> Option<(Fault, f64)> {
+    fn verdict(&self, now: Millis, all: Option<&Watch>, clear_at: f64) -> Option<(Fault, f64)> {
         for (score, fault) in self.scores.iter().zip(FAULTS) {
             let Some(crossed) = score.crossed_at else { continue };
-            let Some(share) = self.confirm(now, fault, score.rise_at, crossed) else { continue };
+            let Some(share) = self.confirm(now, fault, score.rise_at, crossed, all, clear_at)
+            else {
+                continue;
+            };
             let gross = fault == Fault::Failures && share >= OVERLOAD_SHARE;
             if !gross && self.is_overloaded(now) {
                 continue;
@@ -266,7 +308,7 @@
             return Some((fault, share));
         }
         let crossed = self.run_crossed_at?;
-        let share = self.confirm(now, Fault::Failures, self.run_at, crossed)?;
+        let share = self.confirm(now, Fault::Failures, self.run_at, crossed, all, clear_at)?;
         let usual = self.expected_share(now, Fault::Failures);
         (share >= 0.5 && usual < 0.25).then_some((Fault::Failures, share))
     }
@@ -284,24 +326,6 @@
     }
 }
 
-/// Chance of at most `bad` among `calls` when each is bad with chance `p`.
-fn binomial_at_most(calls: u64, bad: u64, p: f64) -> f64 {
-    if bad >= calls || p <= 0.0 {
-        return 1.0;
-    }
-    if p >= 1.0 {
-        return 0.0;
-    }
-    let odds = (p / (1.0 - p)).ln();
-    let mut term = calls as f64 * (1.0 - p).ln();
-    let mut sum = term.exp();
-    for k in 0..bad {
-        term += ((calls - k) as f64 / (k + 1) as f64).ln() + odds;
-        sum += term.exp();
-    }
-    sum.min(1.0)
-}
-
 /// A confirmed fault of the new version.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Condemned {
@@ -332,11 +356,15 @@
     runs: BTreeMap<SmolStr, Millis>,
 }
 
-/// Which slow calls of the new version count.
+/// Which slow calls of the new version are ignored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WarmUp {
     /// Time after the first call on the new version.
     pub first: Millis,
+    /// Calls on the new version: each target has its own cold start.
+    pub calls: u64,
+    /// Time after the first call, beyond which calls count even when there were fewer.
+    pub longest: Millis,
     /// End of the time after the present stage began.
     pub stage_until: Millis,
 }
@@ -378,8 +406,9 @@
             .slow_bucket
             .unwrap_or_else(|| slow_bucket(&watch.latency, watch.latency_calls, objective));
         let mut tally = tally(counts, Some(bucket));
-        let first = *watch.first_new.get_or_insert(now);
-        if !settled || now.since(first) < warm_up.first || now < warm_up.stage_until {
+        let elapsed = now.since(*self.together.first_new.get_or_insert(now));
+        let cold = elapsed < warm_up.first || self.together.new_calls < warm_up.calls;
+        if !settled || cold && elapsed < warm_up.longest || now < warm_up.stage_until {
             tally.timed = 0;
             tally.slow = 0;
         }
@@ -403,21 +432,38 @@
         (self.together.new_calls, self.together.baseline.calls + self.together.new_calls)
     }
 
+    /// Notes that another stage began.
+    pub fn begin_stage(&mut self, now: Millis) {
+        self.entries.values_mut().chain([&mut self.together]).for_each(|w| w.stage_at = now);
+    }
+
     /// Whether a suspicion is open.
     pub fn is_suspicious(&self) -> bool {
         self.entries.values().chain([&self.together]).any(Watch::is_suspicious)
     }
 
+    /// The open suspicion that the calls of the old version speak for rather than against. Asked at
+    /// the end of the move, when there is no time left for more of them.
+    pub fn leaning(&self, now: Millis) -> Option<Condemned> {
+        for (entry, watch) in &self.entries {
+            if let Some((fault, share)) = watch.verdict(now, Some(&self.together), LEANING) {
+                return Some(Condemned { entry: Some(entry.clone()), fault, share });
+            }
+        }
+        let (fault, share) = self.together.verdict(now, None, LEANING)?;
+        Some(Condemned { entry: None, fault, share })
+    }
+
     /// Looks at all counts added since the last look.
     pub fn judge(&mut self, now: Millis, thresholds: &Thresholds) -> Option<Condemned> {
         for (entry, watch) in &mut self.entries {
             watch.advance(now, thresholds, false);
-            if let Some((fault, share)) = watch.verdict(now) {
+            if let Some((fault, share)) = watch.verdict(now, Some(&self.together), CLEAR) {
                 return Some(Condemned { entry: Some(entry.clone()), fault, share });
             }
         }
         self.together.advance(now, thresholds, true);
-        let (fault, share) = self.together.verdict(now)?;
+        let (fault, share) = self.together.verdict(now, None, CLEAR)?;
         Some(Condemned { entry: None, fault, share })
     }
 }
--- a/crates/ibisroute/src/report/mod.rs
+++ b/crates/ibisroute/src/report/mod.rs
@@ -1,1 +1,5 @@
 //! Service-level burn report.
+
+pub mod burn;
+pub mod render;
+pub mod report_settings;
