--- a/crates/ibisroute/tests/common/cluster.rs
+++ b/crates/ibisroute/tests/common/cluster.rs
@@ -9,6 +9,7 @@
 use standins::caller::Class;
 use standins::harness::Builder;
 use standins::harness::Cluster;
+use standins::harness::Output;
 use standins::target::TargetOptions;
 
 /// Bound for things that take well under a second when all is well.
@@ -91,7 +92,7 @@
 /// waits until every node knows them all and serves the catalogue.
 pub(crate) fn start_serving(cluster: &mut Cluster) -> u64 {
     start_targets(cluster);
-    let version = cluster.apply(&catalogue()).expect("the catalogue is applied");
+    let version = apply(cluster, &catalogue());
     cluster.wait_ready(SOON).expect("all nodes serve");
     cluster.wait_version(version, SOON).expect("the version is in effect");
     version
@@ -124,8 +125,34 @@
     let Some(answer) = node.admin("/members") else { return 0 };
     let Ok(view) = serde_json::from_slice::<Value>(&answer.body) else { return 0 };
     let members = view["members"].as_array().cloned().unwrap_or_default();
-    let targets = members.iter().filter(|m| m["status"] == "Alive").flat_map(|m| {
-        m["targets"].as_array().cloned().unwrap_or_default()
-    });
+    let targets = members
+        .iter()
+        .filter(|m| m["status"] == "Alive")
+        .flat_map(|m| m["targets"].as_array().cloned().unwrap_or_default());
     targets.filter(|t| t["state"] == "Ready").count()
 }
+
+/// Applies a catalogue with `ibisctl` and returns its version.
+pub(crate) fn apply(cluster: &Cluster, document: &Value) -> u64 {
+    let output = try_apply(cluster, document);
+    assert_eq!(output.code, Some(0), "{} {}", output.stdout, output.stderr);
+    let answer: Value = serde_json::from_str(&output.stdout).expect("ibisctl prints JSON");
+    answer["version"].as_u64().expect("ibisctl prints the version")
+}
+
+/// Applies a catalogue with `ibisctl`, whatever comes of it.
+pub(crate) fn try_apply(cluster: &Cluster, document: &Value) -> Output {
+    let file = cluster.folder().join("catalogue.json");
+    std::fs::write(&file, document.to_string()).expect("the folder is writable");
+    let file = file.to_string_lossy();
+    ctl(cluster, &["catalogue", "apply", &file, "--author", "test"])
+}
+
+/// Runs `ibisctl` with JSON output against the platform and the first node.
+pub(crate) fn ctl(cluster: &Cluster, args: &[&str]) -> Output {
+    let platform = cluster.platform().addr().to_string();
+    let node = cluster.node(0).addresses().expect("the first node has started").admin.to_string();
+    let mut all = vec!["--platform", &platform, "--node", &node, "--output", "json"];
+    all.extend(args);
+    cluster.ctl(&all).expect("ibisctl runs")
+}
