Test mixed faults, metrics, local address and the reference page

Cause: single faults were tested, their combinations were not; nothing checked that the reference page names every key. Change: four operators with up to seven random faults over 300 seeds; metrics and local address of the platform client; keys of the reference page. Conclusion: what was accepted is in the history once, and nothing else is.

--- a/crates/ibisroute/tests/catalogue_parsing.rs
+++ b/crates/ibisroute/tests/catalogue_parsing.rs
@@ -245,3 +245,29 @@
     }
     checker(500).quickcheck(holds as fn(AnyCatalogue) -> bool);
 }
+
+fn keys_of(value: &Value, keys: &mut Vec<String>) {
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(key, value)| {
+            keys.push(key.clone());
+            keys_of(value, keys);
+        }),
+        Value::Array(items) => items.iter().for_each(|item| keys_of(item, keys)),
+        _ => {}
+    }
+}
+
+/// Guards against a key that the reference page does not describe.
+#[test]
+fn reference_lists_every_key() {
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/catalogue.md");
+    let page = std::fs::read_to_string(page).expect("the reference page");
+    let parsed = catalogue::parse(valid().to_string().as_bytes()).expect("valid");
+    let bytes = catalogue::canonical_bytes(&parsed);
+    let mut keys = Vec::new();
+    keys_of(&serde_json::from_slice(&bytes).expect("JSON"), &mut keys);
+    assert!(keys.len() > 20, "{keys:?}");
+    let missing: Vec<&String> =
+        keys.iter().filter(|key| !page.contains(&format!("| `{key}` |"))).collect();
+    assert!(missing.is_empty(), "not on the page: {missing:?}");
+}
--- a/crates/ibisroute/tests/catalogue_store.rs
+++ b/crates/ibisroute/tests/catalogue_store.rs
@@ -13,6 +13,9 @@
 use ibisroute::catalogue::store::Store;
 use ibisroute::catalogue::store_settings::StoreSettings;
 use ibisroute::types::ConfigVersion;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 const NONE: ConfigVersion = ConfigVersion(0);
 const FIRST: ConfigVersion = ConfigVersion(1);
@@ -196,3 +199,70 @@
     platform.push_fault(Fault::Refused);
     assert_eq!(accepted(store(&platform, 1).apply(&sample("a"), NONE, "ana", "").await), FIRST);
 }
+
+/// Outcomes of one operator who applies until a version is accepted or the outcome is not known.
+struct Operator {
+    name: String,
+    accepted: Vec<ConfigVersion>,
+    unknown: usize,
+}
+
+async fn operate(platform: FakePlatform, seed: u64, name: String) -> Operator {
+    let store = store(&platform, seed);
+    let file = sample(&name);
+    let mut operator = Operator { name: name.clone(), accepted: Vec::new(), unknown: 0 };
+    for _ in 0..20 {
+        let Ok(head) = store.head().await else { break };
+        let base = head.map_or(NONE, |head| head.row.version);
+        match store.apply(&file, base, &name, "").await {
+            ApplyOutcome::Accepted(row) => {
+                operator.accepted.push(row.version);
+                break;
+            }
+            ApplyOutcome::Conflict { .. } => {}
+            ApplyOutcome::Unavailable(_) => break,
+            ApplyOutcome::Unknown(_) => {
+                operator.unknown += 1;
+                break;
+            }
+        }
+    }
+    operator
+}
+
+/// Guards against any mix of races, refusals and lost answers that loses or repeats a version:
+/// what was accepted is in the history once, and nothing else is.
+#[actix_rt::test]
+async fn mixed_faults_keep_history() {
+    for seed in 0..300_u64 {
+        let platform = FakePlatform::default();
+        let mut rng = SmallRng::seed_from_u64(seed);
+        for _ in 0..rng.random_range(0..8) {
+            platform.push_fault(match rng.random_range(0..4) {
+                0 => Fault::LostAfter,
+                1 => Fault::LostBefore,
+                2 => Fault::Refused,
+                _ => Fault::Before(Box::new(|| {})),
+            });
+        }
+        let operators = ["ana", "ben", "cai", "dee"]
+            .iter()
+            .enumerate()
+            .map(|(i, name)| operate(platform.clone(), seed * 4 + i as u64, (*name).to_string()));
+        let operators = futures_util::future::join_all(operators).await;
+        let history = store(&platform, 1).history().await.expect("readable");
+        let versions: Vec<u64> = history.iter().map(|row| row.version.0).collect();
+        let expected: Vec<u64> = (1..=history.len() as u64).collect();
+        assert_eq!(versions, expected, "seed {seed}");
+        for operator in operators {
+            let rows: Vec<ConfigVersion> =
+                history.iter().filter(|r| r.author == operator.name).map(|r| r.version).collect();
+            let name = &operator.name;
+            if operator.unknown == 0 {
+                assert_eq!(rows, operator.accepted, "seed {seed}, operator {name}");
+            } else {
+                assert!(rows.len() <= operator.unknown, "seed {seed}, operator {name}: {rows:?}");
+            }
+        }
+    }
+}
--- a/crates/ibisroute/tests/platform_client.rs
+++ b/crates/ibisroute/tests/platform_client.rs
@@ -2,6 +2,7 @@
 
 use std::io::Read;
 use std::io::Write;
+use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -19,6 +20,7 @@
 use ibisroute::platform::model::Stored;
 use ibisroute::platform::model::Transaction;
 use ibisroute::platform::platform_settings::PlatformSettings;
+use metrics_exporter_prometheus::PrometheusBuilder;
 use socket2::Domain;
 use socket2::Socket;
 use socket2::Type;
@@ -189,3 +191,42 @@
     let outcome = server.client().get("head").await;
     assert!(matches!(outcome, Err(PlatformError::Protocol(_))), "{outcome:?}");
 }
+
+/// Guards against requests, failures and bytes that the metrics do not count.
+#[actix_rt::test]
+async fn requests_are_counted() {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let metrics = recorder.handle();
+    let _guard = metrics::set_default_local_recorder(&recorder);
+    let server = OneAnswer::status("404 Not Found", "12345");
+    let _ = server.client().get("head").await;
+    let server = OneAnswer::status("503 Service Unavailable", "");
+    let _ = server.client().put_object("x", Bytes::from_static(b"1234567")).await;
+    let text = metrics.render();
+    for line in [
+        "ibis_platform_requests_total{kind=\"read\"} 1",
+        "ibis_platform_requests_total{kind=\"write\"} 1",
+        "ibis_platform_failures_total{kind=\"write\",reason=\"refused\"} 1",
+        "ibis_platform_bytes_total{direction=\"sent\"} 7",
+        "ibis_platform_bytes_total{direction=\"received\"} 5",
+    ] {
+        assert!(text.contains(line), "{line} is not in\n{text}");
+    }
+}
+
+/// Guards against connections from an address other than the one in the settings.
+#[actix_rt::test]
+async fn local_address_is_used() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let server = thread::spawn(move || {
+        let (mut stream, peer) = listener.accept().expect("a connection");
+        read_request(&mut stream);
+        let _ = stream.write_all(b"HTTP/1.1 404 No\r\ncontent-length: 0\r\n\r\n");
+        peer.ip()
+    });
+    let local = IpAddr::from([127, 0, 0, 2]);
+    let cfg = PlatformSettings { address, local_address: Some(local), ..Default::default() };
+    assert_eq!(HttpPlatform::new(cfg).get("head").await, Ok(None));
+    assert_eq!(server.join().expect("the server"), local);
+}
