Give tests that expect success long bounds

Cause: bounds of 300 and 400 ms in tests that expect a success could be missed on a busy machine. Change: such tests wait up to 5 to 60 s and end at the success; short bounds remain where the test expects that time runs out.

--- a/crates/ibisroute/tests/catalogue_store.rs
+++ b/crates/ibisroute/tests/catalogue_store.rs
@@ -29,10 +29,17 @@
 }
 
 fn store(platform: &FakePlatform, seed: u64) -> Store {
-    let cfg = StoreSettings { retry_for_ms: 300, first_pause_ms: 1, max_pause_ms: 10 };
+    // Long enough for a busy machine; tests that expect a success end much earlier.
+    let cfg = StoreSettings { retry_for_ms: 30_000, first_pause_ms: 1, max_pause_ms: 10 };
     Store::new(Rc::new(platform.clone()), cfg, seed)
 }
 
+/// For tests in which the platform stays down.
+fn impatient_store(platform: &FakePlatform) -> Store {
+    let cfg = StoreSettings { retry_for_ms: 200, first_pause_ms: 1, max_pause_ms: 10 };
+    Store::new(Rc::new(platform.clone()), cfg, 1)
+}
+
 fn accepted(outcome: ApplyOutcome) -> ConfigVersion {
     match outcome {
         ApplyOutcome::Accepted(row) => row.version,
@@ -162,7 +169,7 @@
     let platform = FakePlatform::default();
     platform.push_fault(Fault::LostAfter);
     platform.go_down_after_transact();
-    let outcome = store(&platform, 1).apply(&sample("a"), NONE, "ana", "").await;
+    let outcome = impatient_store(&platform).apply(&sample("a"), NONE, "ana", "").await;
     assert!(matches!(outcome, ApplyOutcome::Unknown(_)), "{outcome:?}");
 }
 
@@ -172,7 +179,7 @@
 async fn outage_between_object_and_head() {
     let platform = FakePlatform::default();
     platform.go_down_after_put();
-    let store = store(&platform, 1);
+    let store = impatient_store(&platform);
     let outcome = store.apply(&sample("a"), NONE, "ana", "").await;
     assert!(matches!(outcome, ApplyOutcome::Unavailable(_)), "{outcome:?}");
     assert_eq!(platform.keys(), Vec::<String>::new());
@@ -186,7 +193,7 @@
 async fn no_head_without_object() {
     let platform = FakePlatform::default();
     platform.set_objects_down(true);
-    let outcome = store(&platform, 1).apply(&sample("a"), NONE, "ana", "").await;
+    let outcome = impatient_store(&platform).apply(&sample("a"), NONE, "ana", "").await;
     assert!(matches!(outcome, ApplyOutcome::Unavailable(_)), "{outcome:?}");
     assert_eq!(platform.keys(), Vec::<String>::new());
 }
--- a/crates/ibisroute/tests/ibisctl_commands.rs
+++ b/crates/ibisroute/tests/ibisctl_commands.rs
@@ -285,11 +285,12 @@
     nodes
 }
 
-fn apply_and_wait(setup: &Setup, node: &NodeFake, code: i32) -> Output {
+fn apply_and_wait(node: &NodeFake, timeout_s: &str, code: i32) -> Output {
+    let setup = Setup::new();
     let node = node.addr.to_string();
     let file = example("kuiseb");
     let args = ["--node", &node, "catalogue", "apply", &file, "--author", "ana", "--wait"];
-    setup.expect(code, &[&args[..], &["--timeout-s", "2"]].concat())
+    setup.expect(code, &[&args[..], &["--timeout-s", timeout_s]].concat())
 }
 
 /// Guards against returning before every live node has the version, and against waiting for dead
@@ -299,7 +300,7 @@
     let nodes = fleet();
     let slow = vec![status("node-b", 0), status("node-b", 0), status("node-b", 1)];
     nodes[1].page("/status", slow);
-    let output = apply_and_wait(&Setup::new(), &nodes[0], 0);
+    let output = apply_and_wait(&nodes[0], "60", 0);
     let progress = "version 1 is in force on 1 of 2 nodes\nversion 1 is in force on 2 of 2 nodes\n";
     assert_eq!(stderr(&output), progress);
 }
@@ -309,13 +310,13 @@
 fn missing_nodes_exit_5() {
     let nodes = fleet();
     nodes[1].page("/status", vec![status("node-b", 0)]);
-    let output = apply_and_wait(&Setup::new(), &nodes[0], 5);
+    let output = apply_and_wait(&nodes[0], "2", 5);
     let err = stderr(&output);
     assert!(err.contains("missing 1 of 2 nodes:\n  node-b: has version 0"), "{err}");
     let mut rejecting = status("node-b", 0);
     rejecting["rejected"] = json!({"version": 1, "reason": "unknown class"});
     nodes[1].page("/status", vec![rejecting]);
-    let output = apply_and_wait(&Setup::new(), &nodes[0], 5);
+    let output = apply_and_wait(&nodes[0], "2", 5);
     assert!(stderr(&output).contains("node-b: rejected it: unknown class"));
 }
 
--- a/crates/ibisroute/tests/platform_client.rs
+++ b/crates/ibisroute/tests/platform_client.rs
@@ -77,7 +77,7 @@
     }
 
     fn client(&self) -> HttpPlatform {
-        client(self.addr)
+        client(self.addr, 5_000)
     }
 
     fn request(self) -> String {
@@ -85,11 +85,11 @@
     }
 }
 
-fn client(address: SocketAddr) -> HttpPlatform {
+fn client(address: SocketAddr, request_timeout_ms: u64) -> HttpPlatform {
     HttpPlatform::new(PlatformSettings {
         address,
-        request_timeout_ms: 400,
-        connect_timeout_ms: 200,
+        request_timeout_ms,
+        connect_timeout_ms: 2_000,
         max_rows_bytes: 1000,
         max_object_bytes: 1000,
         ..PlatformSettings::default()
@@ -158,7 +158,7 @@
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
     socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).expect("a port");
     let addr = socket.local_addr().ok().and_then(|addr| addr.as_socket()).expect("an address");
-    let outcome = client(addr).transact(Transaction::default()).await;
+    let outcome = client(addr, 5_000).transact(Transaction::default()).await;
     assert!(matches!(outcome, Err(PlatformError::Refused(_))), "no listener: {outcome:?}");
 }
 
@@ -179,7 +179,7 @@
     ];
     for (what, answer, hold) in cases {
         let server = OneAnswer::start(answer, hold);
-        let outcome = server.client().transact(Transaction::default()).await;
+        let outcome = client(server.addr, 400).transact(Transaction::default()).await;
         assert!(matches!(outcome, Err(PlatformError::NoAnswer(_))), "{what}: {outcome:?}");
     }
 }
