Add the bench and make timing tests independent of load

Cause: the cost of a node on the path of a call and for control has to be measured; some tests of the stand-ins relied on calls that start within 200 ms. Tests wait for the state that they need instead of assuming how fast calls start; a failed node's last output is awaited. The bench compiles and has not run, as there is no ibisrouted yet.

--- /dev/null
+++ b/crates/standins/src/bin/bench/added_latency.rs
@@ -0,0 +1,161 @@
+//! Latency and processor time that nodes add to a call.
+//!
+//! The ways alternate in short rounds, so that a change of the machine's load hits all alike.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use clap::ArgMatches;
+use eyre::OptionExt;
+use serde_json::Value;
+use serde_json::json;
+use standins::caller::CallSpec;
+use standins::caller::CallerOptions;
+use standins::caller::CallerStandin;
+use standins::caller::Tally;
+use standins::harness::Cluster;
+use standins::measure;
+use standins::target::TargetOptions;
+use standins::wait;
+
+use crate::catalogue;
+use crate::value;
+
+/// Time for two nodes to become ready.
+const START_BOUND: Duration = Duration::from_secs(20);
+
+/// One way from the caller to the target.
+struct Way {
+    name: &'static str,
+    addr: SocketAddr,
+    tally: Tally,
+    elapsed: Duration,
+    processor: Duration,
+}
+
+impl Way {
+    fn new(name: &'static str, addr: SocketAddr) -> Self {
+        Self {
+            name,
+            addr,
+            tally: Tally::default(),
+            elapsed: Duration::ZERO,
+            processor: Duration::ZERO,
+        }
+    }
+
+    fn quantile_us(&self, q: f64) -> f64 {
+        self.tally.latency_us.value_at_quantile(q) as f64
+    }
+
+    fn result(&self, direct: &Self) -> Value {
+        let (p50, p99) = (self.quantile_us(0.5), self.quantile_us(0.99));
+        let (direct_p50, direct_p99) = (direct.quantile_us(0.5), direct.quantile_us(0.99));
+        let calls = self.tally.calls.max(1) as f64;
+        json!({
+            "way": self.name,
+            "calls": self.tally.calls,
+            "failed": self.tally.failed(),
+            "p50_us": p50,
+            "p99_us": p99,
+            "added_p50_us": p50 - direct_p50,
+            "added_p99_us": p99 - direct_p99,
+            "ratio_p50": p50 / direct_p50.max(1.0),
+            "ratio_p99": p99 / direct_p99.max(1.0),
+            "calls_per_s": self.tally.ok as f64 / self.elapsed.as_secs_f64().max(0.001),
+            "node_processor_us_per_call": self.processor.as_micros() as f64 / calls,
+        })
+    }
+}
+
+/// Processor time of all nodes.
+fn processor(cluster: &Cluster) -> eyre::Result<Duration> {
+    let ids = cluster.nodes().iter().filter_map(|node| node.process_id());
+    ids.map(|id| Ok(measure::usage(id)?.processor)).sum()
+}
+
+pub(crate) fn run(ibisrouted: &Path, matches: &ArgMatches) -> eyre::Result<Value> {
+    let (rounds, calls) = (value(matches, "rounds")?, value(matches, "calls")?);
+    let concurrency = usize::try_from(value(matches, "concurrency")?)?;
+    let seed = value(matches, "seed")?;
+    let mut cluster = Cluster::builder(ibisrouted)
+        .data_centre("erongo-1", "erongo", 2)
+        .log_level("warn")
+        .start()?;
+    cluster.wait_members(2, START_BOUND)?;
+    let options = TargetOptions {
+        slots: u32::try_from(concurrency)?.saturating_mul(2),
+        service_ms: (0, 0),
+        ..TargetOptions::default()
+    };
+    let target = cluster.start_target(0, options)?.addr();
+    let version = cluster.apply(&catalogue("bench"))?;
+    cluster.wait_version(version, START_BOUND)?;
+    cluster.wait_ready(START_BOUND)?;
+    let caller_of = |node: usize| cluster.node(node).addresses().map(|addresses| addresses.caller);
+    let mut ways = [
+        Way::new("direct", target),
+        Way::new("one node", caller_of(0)?),
+        Way::new("two nodes", caller_of(1)?),
+    ];
+    let options = |addr, calls, seed| CallerOptions {
+        nodes: vec![addr],
+        calls: vec![CallSpec { path: crate::PATH.to_string(), ..CallSpec::default() }],
+        concurrency,
+        max_calls: Some(calls),
+        seed,
+        ..CallerOptions::default()
+    };
+    // The first calls open connections, and the far node has to learn of the target.
+    for way in &ways {
+        wait::until_true("a good first round", START_BOUND, || {
+            CallerStandin::run(options(way.addr, 100, seed))
+                .is_ok_and(|summary| summary.total().failed() == 0)
+        })?;
+    }
+    for round in 0..rounds {
+        for way in &mut ways {
+            let before = processor(&cluster)?;
+            let summary = CallerStandin::run(options(way.addr, calls, seed + round))?;
+            way.processor += processor(&cluster)?.saturating_sub(before);
+            way.elapsed += Duration::from_millis(summary.elapsed_ms);
+            way.tally.merge(&summary.total());
+        }
+    }
+    let direct = ways.first().ok_or_eyre("there is no way")?;
+    let results: Vec<Value> = ways.iter().map(|way| way.result(direct)).collect();
+    println!(
+        "{:<10} {:>8} {:>7} {:>9} {:>9} {:>10} {:>10} {:>7} {:>7} {:>9} {:>11}",
+        "way",
+        "calls",
+        "failed",
+        "p50 us",
+        "p99 us",
+        "+p50 us",
+        "+p99 us",
+        "x p50",
+        "x p99",
+        "calls/s",
+        "cpu us/call"
+    );
+    for result in &results {
+        let f = |name: &str| result[name].as_f64().unwrap_or_default();
+        println!(
+            "{:<10} {:>8} {:>7} {:>9.0} {:>9.0} {:>10.0} {:>10.0} {:>7.2} {:>7.2} {:>9.0} {:>11.1}",
+            result["way"].as_str().unwrap_or_default(),
+            f("calls"),
+            f("failed"),
+            f("p50_us"),
+            f("p99_us"),
+            f("added_p50_us"),
+            f("added_p99_us"),
+            f("ratio_p50"),
+            f("ratio_p99"),
+            f("calls_per_s"),
+            f("node_processor_us_per_call"),
+        );
+    }
+    Ok(json!({"bench": "added-latency", "rounds": rounds, "calls": calls,
+              "concurrency": concurrency, "seed": seed, "ways": results}))
+}
--- a/crates/standins/src/harness/cluster.rs
+++ b/crates/standins/src/harness/cluster.rs
@@ -319,11 +319,15 @@
         let Some(process) = &mut self.process else { eyre::bail!("the node is not running") };
         let what = format!("node {} to print its addresses", self.spec.name);
         let found = wait::until(&what, START_BOUND, || {
+            let ended = process.ended();
+            if ended.is_some() {
+                process.wait_output();
+            }
             let lines = process.stdout.lines();
             let found = lines.iter().find_map(|line| serde_json::from_str(line).ok());
             match found {
                 Some(addresses) => Some(Ok::<NodeAddresses, _>(addresses)),
-                None => process.ended().map(Err),
+                None => ended.map(Err),
             }
         });
         let addresses = match found {
@@ -345,6 +349,7 @@
     /// Collects the output of a process that has ended.
     fn retire(&mut self) {
         let Some(process) = self.process.take() else { return };
+        process.wait_output();
         let elapsed = process.started.elapsed().as_millis();
         for line in process.stdout.lines().into_iter().chain(process.stderr.lines()) {
             self.earlier.push(line);
--- a/crates/standins/src/harness/process.rs
+++ b/crates/standins/src/harness/process.rs
@@ -11,6 +11,7 @@
 use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,6 +23,9 @@
 /// Lines kept of a process's output.
 const LOG_LINES: usize = 20_000;
 
+/// Longest wait for the last output of a process that has ended.
+const OUTPUT_BOUND: Duration = Duration::from_secs(2);
+
 /// Output of a process that has ended.
 #[derive(Clone, Debug)]
 pub struct Output {
@@ -46,11 +50,11 @@
     let stdout = collect(child.0.stdout.take());
     let stderr = collect(child.0.stderr.take());
     let status = wait_exit(&mut child.0, bound)?;
-    let text = |thread: std::thread::JoinHandle<String>| thread.join().unwrap_or_default();
+    let text = |thread: JoinHandle<String>| thread.join().unwrap_or_default();
     Ok(Output { code: status.code(), stdout: text(stdout), stderr: text(stderr) })
 }
 
-fn collect(from: Option<impl Read + Send + 'static>) -> std::thread::JoinHandle<String> {
+fn collect(from: Option<impl Read + Send + 'static>) -> JoinHandle<String> {
     std::thread::spawn(move || {
         let mut buf = Vec::new();
         if let Some(mut from) = from {
@@ -92,17 +96,17 @@
         lock(&self.0).iter().cloned().collect()
     }
 
-    fn follow(&self, from: Option<impl Read + Send + 'static>) {
-        let Some(from) = from else { return };
+    fn follow(&self, from: Option<impl Read + Send + 'static>) -> JoinHandle<()> {
         let log = self.clone();
         std::thread::spawn(move || {
+            let Some(from) = from else { return };
             let mut from = BufReader::new(from);
             let mut buf = Vec::new();
             while from.read_until(b'\n', &mut buf).is_ok_and(|n| n > 0) {
                 log.push(String::from_utf8_lossy(&buf).trim_end().to_string());
                 buf.clear();
             }
-        });
+        })
     }
 }
 
@@ -115,6 +119,7 @@
     pub(super) stderr: Log,
     /// When it was started.
     pub(super) started: Instant,
+    followers: Vec<JoinHandle<()>>,
 }
 
 impl Process {
@@ -127,9 +132,18 @@
             .spawn()
             .wrap_err_with(|| format!("start {}", program.display()))?;
         let (stdout, stderr) = (Log::default(), Log::default());
-        stdout.follow(child.stdout.take());
-        stderr.follow(child.stderr.take());
-        Ok(Self { child: KillOnDrop(child), stdout, stderr, started: Instant::now() })
+        let followers =
+            vec![stdout.follow(child.stdout.take()), stderr.follow(child.stderr.take())];
+        let child = KillOnDrop(child);
+        Ok(Self { child, stdout, stderr, started: Instant::now(), followers })
+    }
+
+    /// Waits for the last output of a process that has ended. A pipe that something else keeps open
+    /// ends the wait after a bound.
+    pub(super) fn wait_output(&self) {
+        let _ = wait::until_true("the last output", OUTPUT_BOUND, || {
+            self.followers.iter().all(JoinHandle::is_finished)
+        });
     }
 
     pub(super) fn id(&self) -> u32 {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,8 +6,10 @@
 
 pub mod body;
 pub mod caller;
+pub mod chart;
 pub mod harness;
 pub mod http;
+pub mod measure;
 pub mod platform;
 pub mod programs;
 pub mod relay;
--- a/crates/standins/src/relay/udp.rs
+++ b/crates/standins/src/relay/udp.rs
@@ -40,6 +40,8 @@
 /// What a relay counted, both directions together.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UdpCounters {
+    /// Datagrams that arrived, in both directions.
+    pub received: u64,
     /// Datagrams that were passed on, duplicates included.
     pub passed: u64,
     /// Bytes that were passed on.
@@ -141,14 +143,18 @@
         // An error here reports that an earlier datagram could not be delivered.
         let Ok((n, source)) = socket.recv_from(&mut buf).await else { continue };
         let Some(destination) = lock(&shared).destination else {
-            lock(&shared).counters.lost += 1;
+            let mut state = lock(&shared);
+            state.counters.received += 1;
+            state.counters.lost += 1;
             continue;
         };
         let session = match sessions.get(&source) {
             Some(session) => session.clone(),
             None => {
                 let Ok(session) = UdpSocket::bind(SocketAddr::new(source.ip(), 0)).await else {
-                    lock(&shared).counters.lost += 1;
+                    let mut state = lock(&shared);
+                    state.counters.received += 1;
+                    state.counters.lost += 1;
                     continue;
                 };
                 let session = Arc::new(session);
@@ -201,6 +207,7 @@
 impl State {
     /// Delays of the copies of a datagram that are delivered; none when it is lost.
     fn copies(&mut self, source: IpAddr, len: usize) -> Vec<Duration> {
+        self.counters.received += 1;
         let silent = self.rules.silent_sources.contains(&source);
         if silent || self.chance(self.rules.drop_share) {
             self.counters.lost += 1;
--- /dev/null
+++ b/crates/standins/tests/measure_numbers.rs
@@ -0,0 +1,50 @@
+//! The numbers of the bench are those that the texts and values say.
+
+use std::time::Duration;
+
+use standins::chart;
+use standins::measure;
+
+/// Guards against fields that are counted wrongly when the name of a program has a space or a
+/// parenthesis.
+#[test]
+fn stat_is_parsed() {
+    let text = "42 (a) b (c) S 1 42 42 0 -1 4194304 1 2 3 4 150 70 5 6 20 0 3 0 99 1000 200";
+    assert_eq!(measure::parse_stat(text), Some(Duration::from_millis(2200)));
+    assert_eq!(measure::parse_stat("42 (a) S 1"), None);
+    let status = "Name:\tx\nVmPeak:\t 900 kB\nVmRSS:\t   64 kB\n";
+    assert_eq!(measure::parse_status(status), Some(65_536));
+    let own = measure::usage(std::process::id()).expect("the test's own usage");
+    assert!(own.resident_bytes > 100_000);
+}
+
+/// Guards against quantiles off by one rank.
+#[test]
+fn quantiles_are_ranks() {
+    let values: Vec<f64> = (1..=100).rev().map(f64::from).collect();
+    assert_eq!(measure::quantile(&values, 0.5), 50.0);
+    assert_eq!(measure::quantile(&values, 0.99), 99.0);
+    assert_eq!(measure::quantile(&values, 1.0), 100.0);
+    assert_eq!(measure::quantile(&values, 0.0), 1.0);
+    assert_eq!(measure::quantile(&[], 0.5), 0.0);
+}
+
+/// Guards against a slope of the wrong sign or scale.
+#[test]
+fn slopes_fit_lines() {
+    let line = [(8.0, 30.0), (16.0, 54.0), (32.0, 102.0)];
+    assert!((measure::slope(&line) - 3.0).abs() < 1e-9);
+    assert_eq!(measure::slope(&[(8.0, 1.0)]), 0.0);
+}
+
+/// Guards against a chart that misses its points.
+#[test]
+fn charts_show_points() {
+    let path = std::env::temp_dir().join(format!("standins-chart-{}.svg", std::process::id()));
+    let drawn = chart::draw(&path, "bytes", ("nodes", "bytes/s"), &[(8.0, 900.0), (16.0, 950.0)]);
+    let svg = std::fs::read_to_string(&path).unwrap_or_default();
+    let _ = std::fs::remove_file(&path);
+    drawn.expect("a chart");
+    assert_eq!(svg.matches("<circle").count(), 2);
+    assert!(svg.contains("bytes/s"));
+}
--- a/crates/standins/tests/platform_faults.rs
+++ b/crates/standins/tests/platform_faults.rs
@@ -135,7 +135,7 @@
                           "puts": [{"key": key, "value": "mine"}]});
         let lost = Request::new("POST", url(&platform, "/table/transact"))
             .json(&body)
-            .timeout(Duration::from_millis(500))
+            .timeout(Duration::from_secs(2))
             .send();
         assert!(lost.is_err(), "{key}: {lost:?}");
         assert_eq!(platform.row(key).map(|row| row.value), Some(json!("mine")));
--- a/crates/standins/tests/relay_faults.rs
+++ b/crates/standins/tests/relay_faults.rs
@@ -16,6 +16,7 @@
 use standins::relay::TcpRules;
 use standins::relay::UdpRelay;
 use standins::relay::UdpRules;
+use standins::wait;
 
 const BOUND: Duration = Duration::from_secs(10);
 
@@ -182,17 +183,24 @@
     socket
 }
 
-/// Sends datagrams one by one and returns how many answers each got within `SILENCE`.
-fn answers(relay: &UdpRelay, client: &UdpSocket, count: u32) -> Vec<u32> {
+/// Sends datagrams and returns how many answers each got: waits for `expected` answers in all, and
+/// then for silence.
+fn answers(relay: &UdpRelay, client: &UdpSocket, count: u32, expected: u32) -> Vec<u32> {
     let mut answers = vec![0; count as usize];
     for n in 0..count {
         client.send_to(&n.to_le_bytes(), relay.addr()).expect("sent");
     }
     let mut buf = [0; 4];
-    while client.recv_from(&mut buf).is_ok() {
+    let mut got = 0;
+    loop {
+        let bound = if got < expected { BOUND } else { SILENCE };
+        client.set_read_timeout(Some(bound)).expect("a timeout");
+        if client.recv_from(&mut buf).is_err() {
+            return answers;
+        }
+        got += 1;
         answers[u32::from_le_bytes(buf) as usize] += 1;
     }
-    answers
 }
 
 /// Guards against a UDP partition that reaches other sources, lets answers through or stays.
@@ -202,21 +210,21 @@
     relay.set_destination(udp_echo());
     let far = udp_client([127, 0, 2, 1], SILENCE);
     let near = udp_client([127, 0, 1, 1], SILENCE);
-    assert_eq!(answers(&relay, &far, 3), [1, 1, 1]);
+    assert_eq!(answers(&relay, &far, 3, 3), [1, 1, 1]);
     relay.change_rules(|rules| {
         rules.silent_sources.insert([127, 0, 2, 1].into());
     });
-    assert_eq!(answers(&relay, &far, 3), [0, 0, 0]);
-    assert_eq!(answers(&relay, &near, 3), [1, 1, 1]);
+    assert_eq!(answers(&relay, &far, 3, 0), [0, 0, 0]);
+    assert_eq!(answers(&relay, &near, 3, 3), [1, 1, 1]);
     relay.change_rules(|rules| rules.silent_sources.clear());
-    assert_eq!(answers(&relay, &far, 3), [1, 1, 1]);
+    assert_eq!(answers(&relay, &far, 3, 3), [1, 1, 1]);
 }
 
 /// Guards against losses and duplicates that do not follow the share or the seed.
 #[test]
 fn losses_follow_the_seed() {
     let destination = UdpSocket::bind(any([127, 0, 0, 1])).expect("a free port");
-    destination.set_read_timeout(Some(SILENCE)).expect("a timeout");
+    destination.set_read_timeout(Some(BOUND)).expect("a timeout");
     let run = || {
         let relay = UdpRelay::start(any([127, 0, 0, 1])).expect("a relay");
         relay.set_destination(destination.local_addr().expect("an address"));
@@ -229,7 +237,10 @@
         }
         let mut counts = vec![0; 100];
         let mut buf = [0; 4];
-        while destination.recv_from(&mut buf).is_ok() {
+        wait::until_true("all datagrams", BOUND, || relay.counters().received == 100)
+            .expect("all datagrams");
+        for _ in 0..relay.counters().passed {
+            destination.recv_from(&mut buf).expect("a datagram");
             counts[u32::from_le_bytes(buf) as usize] += 1;
         }
         counts
--- a/crates/standins/tests/target_records.rs
+++ b/crates/standins/tests/target_records.rs
@@ -44,23 +44,42 @@
         .header("x-request-id", format!("r-{name}"))
 }
 
+/// Long enough to start all calls of a test while the first still runs.
+const LONG_SERVICE_MS: (u64, u64) = (4000, 4000);
+
+/// Starts calls one after the other, each while all before it run, and returns their statuses.
+fn overlapping(target: &TargetStandin, count: u32) -> Vec<u16> {
+    std::thread::scope(|scope| {
+        let calls: Vec<_> = (1..=count)
+            .map(|n| {
+                let request = call(target, &format!("c{n}"), "/counter/sheets");
+                let call = scope.spawn(move || request.send().map_or(0, |r| r.status));
+                wait::until_true("the start of a call", BOUND, || target.in_flight() == n)
+                    .expect("a started call");
+                call
+            })
+            .collect();
+        calls.into_iter().map(|call| call.join().unwrap_or(0)).collect()
+    })
+}
+
 /// Guards against calls that run beyond the slots, and against a shed call that ran.
 #[test]
 fn slots_are_exact() {
-    let target =
-        start(TargetOptions { slots: 3, service_ms: (300, 300), ..TargetOptions::default() });
-    let statuses: Vec<_> = std::thread::scope(|scope| {
-        let calls: Vec<_> = (0..10)
-            .map(|n| call(&target, &format!("c{n}"), "/counter/sheets"))
-            .map(|request| scope.spawn(move || request.send().map_or(0, |r| r.status)))
-            .collect();
-        calls.into_iter().map(|call| call.join().unwrap_or(0)).collect()
+    let service_ms = LONG_SERVICE_MS;
+    let target = start(TargetOptions { slots: 3, service_ms, ..TargetOptions::default() });
+    std::thread::scope(|scope| {
+        let running = scope.spawn(|| overlapping(&target, 3));
+        wait::until_true("full slots", BOUND, || target.in_flight() == 3).expect("full slots");
+        for n in 0..7 {
+            let shed = call(&target, &format!("s{n}"), "/counter/sheets").send();
+            assert_eq!(shed.expect("an answer").status, 503);
+        }
+        assert_eq!(running.join().expect("the calls"), [200, 200, 200]);
     });
-    assert_eq!(statuses.iter().filter(|s| **s == 200).count(), 3, "{statuses:?}");
-    assert_eq!(statuses.iter().filter(|s| **s == 503).count(), 7, "{statuses:?}");
     let counters = target.counters();
     assert_eq!((counters.ran, counters.shed, counters.peak_in_flight), (3, 7, 3));
-    assert_eq!(target.records().len(), 3);
+    assert!(target.records().iter().all(|record| record.call.starts_with('c')));
     assert_eq!(target.in_flight(), 0);
 }
 
@@ -133,7 +152,7 @@
     let target = start(TargetOptions { service_ms: (5000, 5000), ..Default::default() });
     let gone = call(&target, "gone", "/counter/sheets").timeout(Duration::from_millis(200)).send();
     assert!(gone.is_err());
-    wait::until_true("the cancelled record", Duration::from_secs(3), || {
+    wait::until_true("the cancelled record", BOUND, || {
         target.records().first().is_some_and(|record| record.cancelled())
     })
     .expect("a cancelled record");
@@ -180,21 +199,13 @@
 /// Guards against a load trigger that does not count the calls in flight.
 #[test]
 fn faults_follow_load() {
-    let target = start(TargetOptions { service_ms: (200, 200), ..Default::default() });
+    let target = start(TargetOptions { service_ms: LONG_SERVICE_MS, ..Default::default() });
     target.set_faults(TargetFaults {
         failing_share: 1.0,
         trigger: Trigger { above_in_flight: Some(2), ..Default::default() },
         ..Default::default()
     });
-    let statuses: Vec<_> = std::thread::scope(|scope| {
-        let calls: Vec<_> = (0..6)
-            .map(|n| call(&target, &format!("c{n}"), "/counter/sheets"))
-            .map(|request| scope.spawn(move || request.send().map_or(0, |r| r.status)))
-            .collect();
-        calls.into_iter().map(|call| call.join().unwrap_or(0)).collect()
-    });
-    assert_eq!(statuses.iter().filter(|s| **s == 200).count(), 2, "{statuses:?}");
-    assert_eq!(statuses.iter().filter(|s| **s == 500).count(), 4, "{statuses:?}");
+    assert_eq!(overlapping(&target, 6), [200, 200, 500, 500, 500, 500]);
 }
 
 /// Guards against a broken answer that a client takes for a whole one.
@@ -222,7 +233,7 @@
 /// Guards against a cold start that never ends.
 #[test]
 fn cold_starts_end() {
-    let cold_start = ColdStart { for_ms: 500, slow_ms: 0, failing: true };
+    let cold_start = ColdStart { for_ms: 2000, slow_ms: 0, failing: true };
     let target = start(TargetOptions { cold_start, ..Default::default() });
     let health = || http::get(url(&target, "/health")).map_or(0, |r| r.status);
     assert_eq!(health(), 503);
@@ -234,7 +245,7 @@
 /// Guards against hints that tell the truth when they are to mislead.
 #[test]
 fn hints_mislead() {
-    let target = start(TargetOptions { service_ms: (800, 800), ..Default::default() });
+    let target = start(TargetOptions { service_ms: LONG_SERVICE_MS, ..Default::default() });
     let load = || http::get(url(&target, "/load")).expect("an answer").json()["in_flight"].as_u64();
     std::thread::scope(|scope| {
         let request = call(&target, "slow", "/counter/sheets");
@@ -266,18 +277,20 @@
     assert!(std::net::TcpStream::connect(addr).is_err());
 }
 
+const LEASE_MS: u64 = 1500;
+
 /// A node as far as the target sees it.
 #[derive(Default)]
 struct FakeNode {
-    announced: Vec<Value>,
+    announced: Vec<(Instant, Value)>,
     leaves: u32,
 }
 
 type SharedNode = web::Data<Arc<Mutex<FakeNode>>>;
 
 async fn announce(node: SharedNode, body: web::Json<Value>) -> HttpResponse {
-    node.lock().expect("the node").announced.push(body.into_inner());
-    HttpResponse::Ok().json(json!({"lease_ms": 150}))
+    node.lock().expect("the node").announced.push((Instant::now(), body.into_inner()));
+    HttpResponse::Ok().json(json!({"lease_ms": LEASE_MS}))
 }
 
 async fn leave(node: SharedNode) -> HttpResponse {
@@ -318,11 +331,14 @@
     let (addr, handle) = serve(node.clone());
 
     let target = start(TargetOptions { node: Some(addr), ..Default::default() });
-    let started = Instant::now();
     let announced = || node.lock().expect("the node").announced.len();
-    wait::until_true("five announcements", BOUND, || announced() >= 5).expect("announcements");
-    assert!(started.elapsed() < Duration::from_millis(5 * 150), "{:?}", started.elapsed());
-    let first = node.lock().expect("the node").announced[0].clone();
+    wait::until_true("four announcements", BOUND, || announced() >= 4).expect("announcements");
+    let (first, times) = {
+        let node = node.lock().expect("the node");
+        (node.announced[0].1.clone(), node.announced.iter().map(|a| a.0).collect::<Vec<_>>())
+    };
+    let lease = Duration::from_millis(LEASE_MS);
+    assert!(times.windows(2).all(|pair| pair[1] - pair[0] < lease), "{times:?}");
     assert_eq!(
         first,
         json!({"service": "counter", "version": "v1", "instance": "counter-1",
@@ -336,8 +352,7 @@
     assert!(target.records()[0].after_leave);
     // Longer than the lease, so a further announcement would have come.
     let since = Instant::now();
-    wait::until_true("a lease", BOUND, || since.elapsed() > Duration::from_millis(300))
-        .expect("a lease");
+    wait::until_true("a lease", BOUND, || since.elapsed() > lease).expect("a lease");
     assert_eq!(announced(), after_leave);
     drop(handle.stop(false));
 }
