Use one model of moves and outcomes in node and ibisctl

Cause: ibisctl had its own report of a move and its own reader of the outcome row beside those of the moves module, with other fields. Change: ibisctl reads moves::evaluator::MoveReport and moves::outcome::RecordedOutcome; bodies of stored uploads use the body type of calls; an unconfirmed row of an upload is no longer told as 'not run'. Result: ibisctl_commands passes with the shape that nodes serve.

--- a/crates/ibisroute/src/ctl/admin_model.rs
+++ b/crates/ibisroute/src/ctl/admin_model.rs
@@ -8,17 +8,16 @@
 use crate::events::LoggedEvent;
 use crate::membership::record::MemberRecord;
 use crate::membership::record::TargetState;
+use crate::moves::evaluator::MoveReport;
 use crate::types::ConfigVersion;
 use crate::types::DataCentre;
 use crate::types::Digest;
 use crate::types::EntryName;
 use crate::types::InstanceId;
-use crate::types::MoveId;
 use crate::types::NodeId;
 use crate::types::Percent;
 use crate::types::Region;
 use crate::types::ServiceName;
-use crate::types::UnixMillis;
 use crate::types::VersionName;
 
 /// Answer of `GET /status`.
@@ -116,33 +115,6 @@
     pub moves: Vec<MoveReport>,
 }
 
-/// A move as the node sees it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct MoveReport {
-    /// Id.
-    pub id: MoveId,
-    /// Service.
-    pub service: ServiceName,
-    /// Version that had the traffic.
-    pub from: VersionName,
-    /// Version that takes it over.
-    pub to: VersionName,
-    /// Stage, counted from zero (not started).
-    pub stage: u8,
-    /// Share of the new version, 0.0 to 1.0.
-    pub share: f64,
-    /// Whether the new version is withdrawn.
-    pub withdrawn: bool,
-    /// Whether the new version has taken over.
-    pub finished: bool,
-    /// Why it was withdrawn; null otherwise.
-    pub reason: Option<String>,
-    /// Declared start.
-    pub start_unix_ms: UnixMillis,
-    /// Declared end.
-    pub finish_by_unix_ms: UnixMillis,
-}
-
 /// Answer of `GET /events`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EventsReport {
--- a/crates/ibisroute/src/ctl/commands/declare.rs
+++ b/crates/ibisroute/src/ctl/commands/declare.rs
@@ -17,20 +17,14 @@
 use crate::ctl::exit::Exit;
 use crate::ctl::exit::Stop;
 use crate::ctl::times::parse_time;
+use crate::moves::outcome::Ending;
+use crate::moves::outcome::RecordedOutcome;
+use crate::moves::outcome::outcome_key;
 use crate::types::MoveId;
 use crate::types::ServiceName;
 use crate::types::UnixMillis;
 use crate::types::VersionName;
 
-/// How a move ended, as its outcome row tells.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum MoveEnd {
-    /// The new version has the traffic.
-    Finished,
-    /// The old version has kept the traffic.
-    TakenBack,
-}
-
 /// A move to declare.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Declaration {
@@ -63,7 +57,7 @@
 /// Adds a move. `earlier` is how the service's move in `catalogue` ended, if it did.
 pub fn edit(
     mut catalogue: Catalogue,
-    earlier: Option<MoveEnd>,
+    earlier: Option<Ending>,
     declaration: &Declaration,
 ) -> Result<Catalogue, DeclareError> {
     let name = &declaration.service;
@@ -71,8 +65,8 @@
     let service = service.ok_or_else(|| DeclareError::NoService(name.clone()))?;
     if let Some(old) = catalogue.moves.iter().find(|m| &m.service == name) {
         match earlier {
-            Some(MoveEnd::Finished) => service.version = old.to.clone(),
-            Some(MoveEnd::TakenBack) => {}
+            Some(Ending::Finished) => service.version = old.to.clone(),
+            Some(Ending::TakenBack) => {}
             None => return Err(DeclareError::Undecided(old.id.clone(), name.clone())),
         }
     }
@@ -90,25 +84,11 @@
     Catalogue::try_from(&Document::from(&catalogue)).map_err(DeclareError::Invalid)
 }
 
-/// Key of the row that tells how a move ended.
-pub fn outcome_key(id: &MoveId) -> String {
-    format!("move/{id}/outcome")
-}
-
-/// Reads how a move ended from the value of its outcome row.
-pub fn parse_outcome(value: &serde_json::Value) -> Option<MoveEnd> {
-    match value.get("outcome")?.as_str()? {
-        "finished" => Some(MoveEnd::Finished),
-        "taken_back" => Some(MoveEnd::TakenBack),
-        _ => None,
-    }
-}
-
-async fn read_end(store: &Store, id: &MoveId) -> Result<Option<MoveEnd>, Stop> {
+async fn read_end(store: &Store, id: &MoveId) -> Result<Option<Ending>, Stop> {
     let Some(value) = store.value(&outcome_key(id)).await? else { return Ok(None) };
-    match parse_outcome(&value) {
-        Some(end) => Ok(Some(end)),
-        None => Err(eyre!("the outcome row of move {id} cannot be read: {value}").into()),
+    match serde_json::from_value::<RecordedOutcome>(value.clone()) {
+        Ok(recorded) => Ok(Some(recorded.outcome)),
+        Err(e) => Err(eyre!("the outcome row of move {id} cannot be read: {e}: {value}").into()),
     }
 }
 
--- a/crates/ibisroute/src/ctl/queries/moves.rs
+++ b/crates/ibisroute/src/ctl/queries/moves.rs
@@ -7,13 +7,14 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::ctl::admin_model::MoveReport;
 use crate::ctl::admin_model::MovesReport;
-use crate::ctl::commands::declare::outcome_key;
 use crate::ctl::context::Context;
 use crate::ctl::exit::Stop;
 use crate::ctl::output::table;
 use crate::ctl::times::format_time;
+use crate::moves::evaluator::MoveReport;
+use crate::moves::outcome::outcome_key;
+use crate::moves::state::Phase;
 use crate::types::MoveId;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -21,18 +22,24 @@
 /// Failed polls in a row after which `watch` gives up.
 const MAX_FAILED_POLLS: u32 = 20;
 
-const HEADERS: [&str; 8] = ["ID", "SERVICE", "FROM", "TO", "STAGE", "SHARE", "STATE", "FINISH BY"];
+const HEADERS: [&str; 9] =
+    ["ID", "SERVICE", "FROM", "TO", "STAGE", "SHARE", "NEW CALLS", "STATE", "FINISH BY"];
 
 fn state(m: &MoveReport) -> String {
-    match (m.withdrawn, m.finished, &m.reason) {
-        (true, _, Some(reason)) => format!("withdrawn: {reason}"),
-        (true, _, None) => "withdrawn".to_string(),
-        (false, true, _) => "finished".to_string(),
-        (false, false, _) if m.stage == 0 => "not started".to_string(),
-        (false, false, _) => "running".to_string(),
+    match m.phase {
+        Phase::Waiting => "not started".to_string(),
+        Phase::Moving if m.stopped_here => "running, stopped on this node".to_string(),
+        Phase::Moving => "running".to_string(),
+        Phase::Finished => "finished".to_string(),
+        Phase::Withdrawn if m.reason.is_empty() => "withdrawn".to_string(),
+        Phase::Withdrawn => format!("withdrawn: {}", m.reason),
     }
 }
 
+fn has_ended(m: &MoveReport) -> bool {
+    matches!(m.phase, Phase::Finished | Phase::Withdrawn)
+}
+
 fn row(m: &MoveReport) -> Vec<String> {
     vec![
         m.id.to_string(),
@@ -40,7 +47,8 @@
         m.from.to_string(),
         m.to.to_string(),
         m.stage.to_string(),
-        format!("{:.0}%", m.share * 100.0),
+        format!("{:.0}%", m.share_percent),
+        m.new_calls.to_string(),
         state(m),
         format_time(m.finish_by_unix_ms),
     ]
@@ -100,7 +108,7 @@
                 if last.as_ref() != Some(&m) {
                     cx.output.print(&m, |m| row(m).join("  "))?;
                 }
-                if m.withdrawn || m.finished {
+                if has_ended(&m) {
                     return Ok(());
                 }
                 last = Some(m);
--- a/crates/ibisroute/src/node/handle.rs
+++ b/crates/ibisroute/src/node/handle.rs
@@ -9,12 +9,12 @@
 use tokio::sync::oneshot;
 
 use crate::telemetry::TrafficCounts;
+use crate::traffic::call::CallBody;
 use crate::types::InstanceId;
 use crate::types::MoveId;
 use crate::types::ServiceName;
 use crate::types::VersionName;
 use crate::uploads::row::UploadMeta;
-use crate::uploads::store::BodyPart;
 use crate::uploads::store::StoreError;
 use crate::wire::ClaimReply;
 use crate::wire::ClaimWire;
@@ -52,8 +52,8 @@
     StoreUpload {
         /// The upload.
         meta: UploadMeta,
-        /// Its body; the channel's end is the body's end.
-        body: mpsc::Receiver<BodyPart>,
+        /// Its body.
+        body: CallBody,
         /// Takes the outcome; `Ok` means that the upload is durable.
         reply: oneshot::Sender<Result<(), StoreError>>,
     },
@@ -154,6 +154,17 @@
         rx.await.map_err(|_| ControlEnded)
     }
 
+    /// Stores an upload and waits until it is durable.
+    pub async fn store_upload(
+        &self,
+        meta: UploadMeta,
+        body: CallBody,
+    ) -> Result<Result<(), StoreError>, ControlEnded> {
+        let (reply, rx) = oneshot::channel();
+        self.send(ControlWork::StoreUpload { meta, body, reply })?;
+        rx.await.map_err(|_| ControlEnded)
+    }
+
     /// Claims a key and waits for the outcome.
     pub async fn claim(&self, claim: ClaimWire) -> Result<ClaimReply, ControlEnded> {
         let (reply, rx) = oneshot::channel();
--- a/crates/ibisroute/src/uploads/actor.rs
+++ b/crates/ibisroute/src/uploads/actor.rs
@@ -15,14 +15,12 @@
 use bytes::Bytes;
 use futures_util::stream;
 use smol_str::SmolStr;
-use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 use super::row::PREFIX;
 use super::row::UploadMeta;
 use super::row::UploadRow;
 use super::state::Deliveries;
-use super::store::BodyPart;
 use super::store::StoreError;
 use super::store::store;
 use super::upload_settings::UploadSettings;
@@ -32,6 +30,7 @@
 use crate::platform::Platform;
 use crate::platform::model::Row;
 use crate::platform::model::Transaction;
+use crate::traffic::call::CallBody;
 use crate::types::Millis;
 
 /// Rows that one scan reads.
@@ -46,8 +45,8 @@
 pub struct StoreUpload {
     /// The upload.
     pub meta: UploadMeta,
-    /// Its body; the channel's end is the body's end.
-    pub body: mpsc::Receiver<BodyPart>,
+    /// Its body.
+    pub body: CallBody,
     /// Takes the outcome.
     pub reply: oneshot::Sender<Result<(), StoreError>>,
 }
--- a/crates/ibisroute/src/uploads/store.rs
+++ b/crates/ibisroute/src/uploads/store.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use derive_more::Display;
-use tokio::sync::mpsc;
+use futures_util::StreamExt;
+use futures_util::stream;
+use futures_util::stream::LocalBoxStream;
 
 use super::row::UploadMeta;
 use super::row::UploadRow;
@@ -20,24 +22,16 @@
 use crate::platform::model::Put;
 use crate::platform::model::Stored;
 use crate::platform::model::Transaction;
+use crate::traffic::call::BodyBroken;
+use crate::traffic::call::CallBody;
 use crate::types::Millis;
 use crate::types::UnixMillis;
 
 /// Pause between two tries of a write.
 const RETRY_PAUSE: Millis = Millis(100);
 
-/// A part of a request body; `Err` when the caller's stream broke.
-pub type BodyPart = Result<Bytes, BodyBroken>;
-
-/// The caller's stream ended early.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
-#[display("the request body ended early")]
-pub struct BodyBroken;
-
-impl std::error::Error for BodyBroken {}
-
-/// Why an upload was not stored. Nothing was accepted; chunks that were written are left without a
-/// row.
+/// Why an upload was not stored. Except after [`StoreError::Unconfirmed`] it is certain that it will
+/// not be delivered; chunks that were written are left without a row.
 #[derive(Clone, Debug, PartialEq, Eq, Display)]
 pub enum StoreError {
     /// The caller's stream broke.
@@ -46,6 +40,9 @@
     /// The platform failed.
     #[display("{_0}")]
     Platform(PlatformError),
+    /// The row's write was not confirmed: the upload may be stored and delivered.
+    #[display("the row's write was not confirmed: {_0}")]
+    Unconfirmed(PlatformError),
     /// Another body is stored under the upload's id.
     #[display("another upload has the same id")]
     IdTaken,
@@ -61,11 +58,12 @@
     platform: Rc<dyn Platform>,
     cfg: UploadSettings,
     meta: UploadMeta,
-    mut body: mpsc::Receiver<BodyPart>,
+    body: CallBody,
 ) -> Result<UploadRow, StoreError> {
+    let mut body = parts(body);
     let mut buf = BytesMut::new();
     let mut row = UploadRow { meta, chunks: 0, bytes: 0, unix_ms: UnixMillis::now() };
-    while let Some(part) = body.recv().await {
+    while let Some(part) = body.next().await {
         let part = part.map_err(StoreError::Body)?;
         row.bytes += part.len() as u64;
         buf.extend_from_slice(&part);
@@ -81,6 +79,13 @@
     Ok(row)
 }
 
+fn parts(body: CallBody) -> LocalBoxStream<'static, Result<Bytes, BodyBroken>> {
+    match body {
+        CallBody::Whole(bytes) => stream::iter([Ok(bytes)]).boxed_local(),
+        CallBody::Stream(reader) => reader.boxed_local(),
+    }
+}
+
 async fn put_chunk(
     platform: &Rc<dyn Platform>,
     cfg: &UploadSettings,
@@ -89,7 +94,8 @@
 ) -> Result<(), StoreError> {
     let name = chunk_name(&row.meta.id, row.chunks);
     // Storing the same bytes twice is harmless, so a lost answer is simply tried again.
-    let stored = retry(cfg, || platform.put_object(&name, chunk.clone())).await?;
+    let stored = retry(cfg, || platform.put_object(&name, chunk.clone())).await;
+    let stored = stored.map_err(StoreError::Platform)?;
     if stored == Stored::Different {
         return Err(StoreError::IdTaken);
     }
@@ -108,7 +114,8 @@
         puts: vec![Put { key: key.as_str().into(), value: serde_json::json!(row) }],
         deletes: Vec::new(),
     };
-    match retry(cfg, || platform.transact(transaction.clone())).await? {
+    let outcome = retry(cfg, || platform.transact(transaction.clone())).await;
+    match outcome.map_err(StoreError::Unconfirmed)? {
         Outcome::Committed => Ok(()),
         // The own row is there when an earlier answer was lost, or when the caller sends the upload
         // again because the 202 did not reach it.
@@ -125,12 +132,12 @@
 async fn retry<T>(
     cfg: &UploadSettings,
     request: impl Fn() -> PlatformFuture<T>,
-) -> Result<T, StoreError> {
+) -> Result<T, PlatformError> {
     let mut attempt = 1;
     loop {
         match request().await {
             Ok(value) => return Ok(value),
-            Err(e) if attempt >= cfg.store_attempts => return Err(StoreError::Platform(e)),
+            Err(e) if attempt >= cfg.store_attempts => return Err(e),
             Err(_) => tokio::time::sleep(RETRY_PAUSE.to_duration()).await,
         }
         attempt += 1;
--- a/crates/ibisroute/tests/ibisctl_commands.rs
+++ b/crates/ibisroute/tests/ibisctl_commands.rs
@@ -411,9 +411,12 @@
 }
 
 fn move_page(stage: u8, finished: bool) -> Value {
+    let phase = if finished { "finished" } else { "moving" };
     json!({"moves": [{"id": "counter-v2", "service": "counter", "from": "v1", "to": "v2",
-        "stage": stage, "share": 0.25, "withdrawn": false, "finished": finished, "reason": null,
-        "start_unix_ms": 1_764_820_000_000_u64, "finish_by_unix_ms": 1_764_820_600_000_u64}]})
+        "start_unix_ms": 1_764_820_000_000_u64, "finish_by_unix_ms": 1_764_820_600_000_u64,
+        "phase": phase, "stage": stage, "share_percent": 25.0, "stopped_here": false,
+        "reason": "", "evaluators": ["node-a"], "evaluating": true, "new_calls": 40,
+        "all_calls": 160, "outcome": null, "reported": false}]})
 }
 
 /// Guards against queries that do not follow the shapes of the admin interface.
@@ -427,7 +430,10 @@
 
     node.page("/moves", vec![move_page(3, false)]);
     let output = expect(0, &["--node", &addr, "move", "list"]);
-    assert!(stdout(&output).contains("25%    running  2025-12-04T03:56:40Z"), "{output:?}");
+    assert!(
+        stdout(&output).contains("25%    40         running  2025-12-04T03:56:40Z"),
+        "{output:?}"
+    );
     expect(0, &["--node", &addr, "move", "show", "counter-v2"]);
     expect(1, &["--node", &addr, "move", "show", "counter-v9"]);
 
