--- a/crates/ibisroute/src/traffic/dispatch.rs
+++ b/crates/ibisroute/src/traffic/dispatch.rs
@@ -325,7 +325,8 @@
             () = reply.closed() => return,
             served = self.serve(&head, body, deadline) => served,
         };
-        let Served { reply: head, body, _slot } = served;
+        // Bindings are dropped in reverse order: the connection closes before the slot is free.
+        let Served { _slot, body, reply: head } = served;
         if reply.send(head).is_err() {
             return;
         }
--- a/crates/ibisroute/src/traffic/ingress.rs
+++ b/crates/ibisroute/src/traffic/ingress.rs
@@ -2,10 +2,13 @@
 
 use std::io;
 use std::net::TcpListener;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,11 +16,15 @@
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::HttpServer;
+use actix_web::body::BodySize;
+use actix_web::body::BoxBody;
+use actix_web::body::MessageBody;
 use actix_web::dev::Server;
 use actix_web::http::Method;
 use actix_web::http::StatusCode;
 use actix_web::web;
 use actix_web::web::Payload;
+use bytes::Bytes;
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
@@ -41,6 +48,7 @@
 use super::retry::may_send_again;
 use super::worker::Attempt;
 use super::worker::AttemptEnd;
+use super::worker::InFlightGuard;
 use super::worker::Shared;
 use super::worker::Worker;
 use crate::catalogue::model::Entry;
@@ -61,8 +69,9 @@
 /// the rest is enough for another target. Silent target connections show no other sign.
 const EARLY_RETRY: f64 = 0.6;
 
-/// Longest wait for callers in a graceful stop; the bound of the drain is shorter.
-const SHUTDOWN_S: u64 = 3600;
+/// Longest wait for the last bytes of responses when the listener stops. Calls in flight are waited
+/// for before, because the server cannot be stopped at once while it stops gracefully.
+const SHUTDOWN_S: u64 = 2;
 
 /// Makes the server for callers on a bound listener.
 pub(super) fn serve(shared: Arc<Shared>, listener: TcpListener) -> io::Result<Server> {
@@ -85,28 +94,38 @@
     Ok(server)
 }
 
-/// Counts calls in flight.
-struct InFlight;
+/// A response body that counts as in flight until it is dropped.
+struct CountedBody {
+    body: BoxBody,
+    _in_flight: InFlightGuard,
+}
+
+impl MessageBody for CountedBody {
+    type Error = <BoxBody as MessageBody>::Error;
 
-impl InFlight {
-    fn new() -> Self {
-        metrics::gauge!("ibis_calls_in_flight").increment(1.0);
-        Self
+    fn size(&self) -> BodySize {
+        self.body.size()
     }
-}
 
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        metrics::gauge!("ibis_calls_in_flight").decrement(1.0);
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        Pin::new(&mut self.body).poll_next(cx)
     }
 }
 
 async fn handle(req: HttpRequest, payload: Payload) -> HttpResponse {
-    let _in_flight = InFlight::new();
     let Some(worker) = req.app_data::<Rc<Worker>>().cloned() else {
         return HttpResponse::InternalServerError().finish();
     };
-    let id = request::request_id(&req).unwrap_or_else(|| worker.random_id());
+    let in_flight = worker.shared.in_flight.enter();
+    let response = answer(&worker, &req, payload).await;
+    response.map_body(|_, body| BoxBody::new(CountedBody { body, _in_flight: in_flight }))
+}
+
+async fn answer(worker: &Rc<Worker>, req: &HttpRequest, payload: Payload) -> HttpResponse {
+    let id = request::request_id(req).unwrap_or_else(|| worker.random_id());
     let snapshot = worker.shared.snapshot.load_full();
     let unavailable = |kind, reason: &str| {
         Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, kind, reason).response(&id, false)
@@ -119,7 +138,7 @@
     let Some(config) = snapshot.config.clone() else {
         return unavailable("no-config", "the node has no configuration yet");
     };
-    match accept(&worker, &config, &req, payload, &id).await {
+    match accept(worker, &config, req, payload, &id).await {
         Ok(response) => response,
         Err(refusal) => refusal.response(&id, false),
     }
--- a/crates/ibisroute/src/traffic/threads.rs
+++ b/crates/ibisroute/src/traffic/threads.rs
@@ -3,8 +3,6 @@
 use std::collections::BTreeMap;
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Instant;
@@ -23,6 +21,7 @@
 use super::dispatch::Dispatcher;
 use super::ingress;
 use super::traffic_settings::TrafficSettings;
+use super::worker::InFlight;
 use super::worker::Shared;
 use crate::events;
 use crate::events::traffic;
@@ -64,7 +63,7 @@
     callers: ServerHandle,
     peers_stop: watch::Sender<bool>,
     peers_ended: watch::Receiver<bool>,
-    draining: Arc<AtomicBool>,
+    in_flight: Arc<InFlight>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -74,7 +73,7 @@
     let dispatch = DispatchHandle { tx };
     let (peers_stop, stopped) = watch::channel(false);
     let (peers_done, peers_ended) = watch::channel(false);
-    let draining = Arc::new(AtomicBool::new(false));
+    let in_flight = Arc::new(InFlight::default());
     cx.peers.set_nonblocking(true).wrap_err("peer listener")?;
     let peers = cx.peers;
     let (control, snapshot) = (cx.control.clone(), cx.snapshot.clone());
@@ -108,7 +107,7 @@
         settings: cx.traffic_settings,
         peer_settings: cx.peer_settings,
         stopped_moves: ArcSwap::from_pointee(BTreeMap::new()),
-        draining: draining.clone(),
+        in_flight: in_flight.clone(),
         started: Instant::now(),
         seed: cx.seed,
     });
@@ -127,7 +126,7 @@
     })?;
     let callers = handle_rx.recv().wrap_err("caller thread ended")?;
     let threads = vec![dispatch_thread, callers_thread];
-    Ok(TrafficThreads { dispatch, callers, peers_stop, peers_ended, draining, threads })
+    Ok(TrafficThreads { dispatch, callers, peers_stop, peers_ended, in_flight, threads })
 }
 
 /// Starts a thread with an actix system and waits until `f` reports that it is ready.
@@ -154,8 +153,10 @@
     /// Refuses new calls and waits at most `limit` until those in flight have ended. Returns
     /// whether all have ended; the threads keep running until [`TrafficThreads::stop`].
     pub async fn drain(&self, limit: Millis) -> bool {
-        self.draining.store(true, Ordering::Release);
+        self.in_flight.start_drain();
         let drained = timeout(limit.to_duration(), async {
+            self.in_flight.idle().await;
+            // Only last bytes are left to be written.
             self.callers.stop(true).await;
             self.dispatch.send(DispatchWork::DrainAll);
             // Receivers exist as long as the dispatch thread runs.
@@ -175,7 +176,7 @@
 
     /// Ends the threads at once and waits for them; calls in flight are cut.
     pub async fn stop(self) {
-        self.draining.store(true, Ordering::Release);
+        self.in_flight.start_drain();
         self.callers.stop(false).await;
         self.dispatch.send(DispatchWork::Stop);
         let joined = tokio::task::spawn_blocking(move || {
--- a/crates/ibisroute/src/traffic/worker.rs
+++ b/crates/ibisroute/src/traffic/worker.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
@@ -13,6 +14,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::sync::Notify;
 
 use super::balancer::Balancer;
 use super::balancer::Observed;
@@ -59,7 +61,7 @@
     pub(super) peer_settings: PeerSettings,
     /// Moves whose share this node stopped, and until when.
     pub(super) stopped_moves: ArcSwap<BTreeMap<MoveId, Millis>>,
-    pub(super) draining: Arc<AtomicBool>,
+    pub(super) in_flight: Arc<InFlight>,
     pub(super) started: Instant,
     pub(super) seed: u64,
 }
@@ -71,6 +73,56 @@
     }
 }
 
+/// Counts the callers' calls that are not wholly answered.
+#[derive(Debug, Default)]
+pub(super) struct InFlight {
+    draining: AtomicBool,
+    calls: AtomicUsize,
+    ended: Notify,
+}
+
+impl InFlight {
+    /// Counts a call until the guard is dropped. A call is counted before it checks for a drain, so
+    /// that a drain misses none.
+    pub(super) fn enter(self: &Arc<Self>) -> InFlightGuard {
+        self.calls.fetch_add(1, Ordering::SeqCst);
+        metrics::gauge!("ibis_calls_in_flight").increment(1.0);
+        InFlightGuard(self.clone())
+    }
+
+    /// Makes the threads refuse new calls.
+    pub(super) fn start_drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Waits until no call is in flight.
+    pub(super) async fn idle(&self) {
+        loop {
+            let ended = self.ended.notified();
+            if self.calls.load(Ordering::SeqCst) == 0 {
+                return;
+            }
+            ended.await;
+        }
+    }
+}
+
+/// One call in flight.
+pub(super) struct InFlightGuard(Arc<InFlight>);
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        metrics::gauge!("ibis_calls_in_flight").decrement(1.0);
+        if self.0.calls.fetch_sub(1, Ordering::SeqCst) == 1 {
+            self.0.ended.notify_waiters();
+        }
+    }
+}
+
 /// State of one thread.
 pub(super) struct Worker {
     pub(super) shared: Arc<Shared>,
@@ -116,7 +168,7 @@
 
     /// Whether new calls are refused.
     pub(super) fn is_draining(&self, snapshot: &Snapshot) -> bool {
-        snapshot.draining || self.shared.draining.load(Ordering::Acquire)
+        snapshot.draining || self.shared.in_flight.is_draining()
     }
 
     /// Chooses version and target of an attempt. `None` when there is no untried target.
--- a/crates/ibisroute/tests/traffic_calls.rs
+++ b/crates/ibisroute/tests/traffic_calls.rs
@@ -321,6 +321,28 @@
     assert!(grown < 24 * 1024, "resident memory grew by {grown} KB");
 }
 
+/// Guards against an upload that fails, or loses bytes, when a refusal came before its body was read.
+#[actix_web::test]
+async fn upload_retried_unread() {
+    const CHUNKS: usize = 16;
+    const CHUNK: usize = 64 * 1024;
+    let (target, _log) = start_target();
+    let (near, far) = start_pair(target);
+    // The far node refuses calls for `t0`, a target that it does not have.
+    near.set_endpoints(&[("t0", far.peers), ("t1", far.peers)]);
+    let mut retried = false;
+    for _ in 0..8 {
+        let data = Bytes::from(vec![7; CHUNK]);
+        let body = stream::iter((0..CHUNKS).map(move |_| Ok::<_, std::io::Error>(data.clone())));
+        let mut response =
+            client().post(near.url("/upload")).send_stream(body).await.expect("answer");
+        assert_eq!(response.status(), 200);
+        retried |= response.headers().contains_key("x-ibis-retried");
+        assert_eq!(response.body().await.expect("body"), (CHUNKS * CHUNK).to_string());
+    }
+    assert!(retried, "no call chose the missing target");
+}
+
 /// Guards against calls that outlive their deadline.
 #[actix_web::test]
 async fn deadline_enforced() {
@@ -533,6 +555,23 @@
     timeout(WAIT, far.threads.stop()).await.expect("stopped");
 }
 
+/// Guards against a stop that hangs after the bound of a drain, and a drain that takes new calls.
+#[actix_web::test]
+async fn drain_is_bounded() {
+    let (target, mut log) = start_target();
+    let (near, far) = start_pair(target);
+    let url = near.url("/sheets?hang");
+    let call = actix_rt::spawn(async move { client().get(url).send().await.is_err() });
+    assert_eq!(timeout(WAIT, log.recv()).await.expect("in time"), Some("started"));
+    assert!(!near.threads.drain(Millis(50)).await);
+    let response = client().get(near.url("/sheets")).send().await.expect("answer");
+    assert_eq!(response.status(), 503);
+    assert_eq!(response.headers().get("x-ibis-outcome").expect("outcome"), "not-run");
+    timeout(WAIT / 2, near.threads.stop()).await.expect("stopped");
+    assert!(timeout(WAIT, call).await.expect("in time").expect("task"), "cut call got an answer");
+    timeout(WAIT, far.threads.stop()).await.expect("stopped");
+}
+
 /// Guards against a peer server that dies from malformed input.
 #[actix_web::test]
 async fn malformed_peer_input() {
