Close the platform's port only after the answer that asked for it

Change: the port closes when the connection of the request has been closed. Conclusion: faults can be set over HTTP with a definite answer.

--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -37,6 +37,7 @@
 use crate::server::bind_again;
 use crate::server::cut;
 use crate::server::lock;
+use crate::server::on_close;
 
 use self::faults::Ceiling;
 use self::faults::LostBy;
@@ -89,7 +90,7 @@
 struct Shared(Arc<Mutex<State>>);
 
 enum Command {
-    Outage(Outage, Option<Duration>),
+    FaultsChanged,
     Stop,
 }
 
@@ -131,6 +132,7 @@
     /// Replaces the faults in force.
     pub fn set_faults(&self, faults: PlatformFaults) {
         self.shared.set_faults(faults);
+        let _ = self.supervisor.send(Command::FaultsChanged);
     }
 
     /// The faults in force.
@@ -184,9 +186,11 @@
             Some(at) => commands.recv_timeout(at.saturating_duration_since(Instant::now())),
         };
         let outage = match command {
-            Ok(Command::Outage(outage, length)) => {
+            Ok(Command::FaultsChanged) => {
+                let faults = shared.lock().faults.clone();
+                let length = faults.outage_ms.map(Duration::from_millis);
                 until = length.map(|length| Instant::now() + length);
-                outage
+                faults.outage
             }
             Err(RecvTimeoutError::Timeout) => {
                 until = None;
@@ -233,8 +237,6 @@
     fn set_faults(&self, faults: PlatformFaults) {
         let mut state = self.lock();
         state.rng = SmallRng::seed_from_u64(faults.seed);
-        let length = faults.outage_ms.map(Duration::from_millis);
-        let _ = state.supervisor.send(Command::Outage(faults.outage, length));
         state.faults = faults;
     }
 
@@ -474,11 +476,16 @@
     HttpResponse::Ok().json(&shared.lock().faults)
 }
 
-async fn set_faults(shared: web::Data<Shared>, body: Bytes) -> HttpResponse {
+async fn set_faults(req: HttpRequest, shared: web::Data<Shared>, body: Bytes) -> HttpResponse {
     match serde_json::from_slice::<PlatformFaults>(&body) {
         Ok(faults) => {
             shared.set_faults(faults);
-            HttpResponse::Ok().json(&shared.lock().faults)
+            // The port may close only after this answer has gone out.
+            let supervisor = shared.lock().supervisor.clone();
+            on_close(&req, move || {
+                let _ = supervisor.send(Command::FaultsChanged);
+            });
+            HttpResponse::Ok().force_close().json(&shared.lock().faults)
         }
         Err(e) => HttpResponse::BadRequest().json(json!({"error": e.to_string()})),
     }
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -32,21 +32,49 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+type Hook = Box<dyn FnOnce() + Send>;
+
 /// Second handle to the socket of a connection.
-#[derive(Clone, Debug)]
-struct Conn(Arc<TcpStream>);
+struct Io {
+    stream: TcpStream,
+    on_close: Mutex<Vec<Hook>>,
+}
+
+impl Io {
+    fn cut(&self) {
+        // The peer may have closed the socket already.
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+}
+
+impl Drop for Io {
+    fn drop(&mut self) {
+        for hook in std::mem::take(&mut *lock(&self.on_close)) {
+            hook();
+        }
+    }
+}
+
+struct Conn(Arc<Io>);
 
 /// Drops the connection of `req`, so that its response never leaves the server.
 pub(crate) fn cut(req: &HttpRequest) {
     if let Some(conn) = req.conn_data::<Conn>() {
-        // The peer may have closed the socket already.
-        let _ = conn.0.shutdown(Shutdown::Both);
+        conn.0.cut();
+    }
+}
+
+/// Runs `f` when the connection of `req` has been closed, or at once when it cannot be told.
+pub(crate) fn on_close(req: &HttpRequest, f: impl FnOnce() + Send + 'static) {
+    match req.conn_data::<Conn>() {
+        Some(conn) => lock(&conn.0.on_close).push(Box::new(f)),
+        None => f(),
     }
 }
 
 /// The open connections of a server.
-#[derive(Clone, Debug, Default)]
-struct Connections(Arc<Mutex<Vec<Weak<TcpStream>>>>);
+#[derive(Clone, Default)]
+struct Connections(Arc<Mutex<Vec<Weak<Io>>>>);
 
 impl Connections {
     fn add(&self, conn: &Conn) {
@@ -56,8 +84,9 @@
     }
 
     fn cut_all(&self) {
-        for conn in lock(&self.0).drain(..).filter_map(|conn| conn.upgrade()) {
-            let _ = conn.shutdown(Shutdown::Both);
+        let all = std::mem::take(&mut *lock(&self.0));
+        for conn in all.iter().filter_map(Weak::upgrade) {
+            conn.cut();
         }
     }
 }
@@ -101,7 +130,9 @@
                             };
                             let _ = io.set_nodelay(true);
                             if let Ok(fd) = io.as_fd().try_clone_to_owned() {
-                                let conn = Conn(Arc::new(TcpStream::from(fd)));
+                                let stream = TcpStream::from(fd);
+                                let on_close = Mutex::default();
+                                let conn = Conn(Arc::new(Io { stream, on_close }));
                                 accepted.add(&conn);
                                 data.insert(conn);
                             }
