--- a/crates/standins/src/target/announcer.rs
+++ b/crates/standins/src/target/announcer.rs
@@ -136,7 +136,8 @@
         if !response.status().is_success() {
             return None;
         }
-        response.json::<Lease>().await.ok()
+        let body = response.body().await.ok()?;
+        serde_json::from_slice::<Lease>(&body).ok()
     }
     .await;
     let mut state = shared.lock();
