Store an upload that no target can take, and deliver it later

Cause: an upload without a ready target was refused, so that plate scans and drawings depended on a target being there at that moment. Change: a refusal that proves 'not run' with an untouched body leads to the object store; the caller gets 202 when the row is written. A failed store deletes its chunks. An unconfirmed row is told as 'may have run'.

--- a/crates/ibisroute/src/traffic/ingress.rs
+++ b/crates/ibisroute/src/traffic/ingress.rs
@@ -46,6 +46,7 @@
 use super::response::recorded_response;
 use super::retry::AttemptOutcome;
 use super::retry::may_send_again;
+use super::stored_upload;
 use super::worker::Attempt;
 use super::worker::AttemptEnd;
 use super::worker::InFlightGuard;
@@ -214,7 +215,7 @@
             self.worker.count_refused(&self.entry.name);
             let reason = format!("no target of {} is ready", self.entry.service);
             let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-target", reason);
-            return refusal.response(self.id, false);
+            return self.refuse(refusal, false).await;
         };
         loop {
             tried.push(attempt.endpoint.instance.clone());
@@ -230,8 +231,19 @@
                 ran = Ran::MayHaveRun;
             }
             let next = early.or_else(|| self.next_attempt(&attempted, outcome, &tried));
+            let retried = tried.len() > 1;
             let Some(next) = next else {
-                return self.respond(attempted, outcome, ran, tried.len() > 1, claim, began);
+                return match attempted {
+                    // An earlier attempt may have run even if the last one did not.
+                    Attempted::Refusal(refusal) => {
+                        self.refuse(Refusal { ran, ..refusal }, retried).await
+                    }
+                    Attempted::Answer(answer) => {
+                        // The claim of a request that provably did not run is released.
+                        let claim = claim.filter(|_| outcome != AttemptOutcome::NotRun);
+                        self.respond(*answer, retried, claim, began)
+                    }
+                };
             };
             if let Attempted::Answer(answer) = attempted {
                 answer.discard();
@@ -392,22 +404,27 @@
         Refusal::may_have_run(status, kind, reason)
     }
 
+    /// Stores an upload that no target can take; anything else gets the refusal.
+    async fn refuse(&self, refusal: Refusal, retried: bool) -> HttpResponse {
+        if !stored_upload::can_store(self.req, self.entry, &self.source, &refusal) {
+            return refusal.response(self.id, retried);
+        }
+        let request = (self.req, self.path, self.id);
+        let stored =
+            stored_upload::store(self.worker, request, self.entry, &self.source, self.deadline);
+        match stored.await {
+            Ok(response) => response,
+            Err(refusal) => refusal.response(self.id, retried),
+        }
+    }
+
     fn respond(
         &self,
-        attempted: Attempted,
-        outcome: AttemptOutcome,
-        ran: Ran,
+        answer: Answer,
         retried: bool,
         claim: Option<ClaimGuard>,
         began: Instant,
     ) -> HttpResponse {
-        let answer = match attempted {
-            Attempted::Refusal(refusal) => {
-                // An earlier attempt may have run even if the last one did not.
-                return Refusal { ran, ..refusal }.response(self.id, retried);
-            }
-            Attempted::Answer(answer) => answer,
-        };
         if let Some(service) =
             answer.header(headers::SERVICE_MICROS).and_then(|v| v.parse::<f64>().ok())
         {
@@ -422,9 +439,7 @@
             deadline: self.deadline,
             retried,
         };
-        // The claim of a request that provably did not run is released, not recorded.
-        let claim = claim.filter(|_| outcome != AttemptOutcome::NotRun);
-        answer_response(&cx, *answer, claim)
+        answer_response(&cx, answer, claim)
     }
 }
 
--- a/crates/ibisroute/src/traffic/mod.rs
+++ b/crates/ibisroute/src/traffic/mod.rs
@@ -13,6 +13,7 @@
 mod response;
 pub mod retry;
 pub mod routing;
+mod stored_upload;
 mod target_client;
 mod threads;
 pub mod token_bucket;
--- a/crates/ibisroute/src/uploads/store.rs
+++ b/crates/ibisroute/src/uploads/store.rs
@@ -60,23 +60,49 @@
     meta: UploadMeta,
     body: CallBody,
 ) -> Result<UploadRow, StoreError> {
+    let mut row = UploadRow { meta, chunks: 0, bytes: 0, unix_ms: UnixMillis::now() };
+    let stored = store_body(&platform, &cfg, &mut row, body).await;
+    match stored {
+        Ok(()) => Ok(row),
+        // The upload may be delivered, or the chunks belong to another one.
+        Err(e @ (StoreError::Unconfirmed(_) | StoreError::IdTaken)) => Err(e),
+        Err(e) => {
+            delete_chunks(&platform, &row).await;
+            Err(e)
+        }
+    }
+}
+
+async fn store_body(
+    platform: &Rc<dyn Platform>,
+    cfg: &UploadSettings,
+    row: &mut UploadRow,
+    body: CallBody,
+) -> Result<(), StoreError> {
     let mut body = parts(body);
     let mut buf = BytesMut::new();
-    let mut row = UploadRow { meta, chunks: 0, bytes: 0, unix_ms: UnixMillis::now() };
     while let Some(part) = body.next().await {
         let part = part.map_err(StoreError::Body)?;
         row.bytes += part.len() as u64;
         buf.extend_from_slice(&part);
         while buf.len() >= cfg.chunk_bytes {
             let chunk = buf.split_to(cfg.chunk_bytes).freeze();
-            put_chunk(&platform, &cfg, &mut row, chunk).await?;
+            put_chunk(platform, cfg, row, chunk).await?;
         }
     }
     if !buf.is_empty() {
-        put_chunk(&platform, &cfg, &mut row, buf.freeze()).await?;
+        put_chunk(platform, cfg, row, buf.freeze()).await?;
+    }
+    put_row(platform, cfg, row).await
+}
+
+/// Deletes the chunks of an upload without a row; what cannot be deleted stays as garbage.
+async fn delete_chunks(platform: &Rc<dyn Platform>, row: &UploadRow) {
+    for n in 0..row.chunks {
+        if platform.delete_object(&row.chunk_name(n)).await.is_err() {
+            return;
+        }
     }
-    put_row(&platform, &cfg, &row).await?;
-    Ok(row)
 }
 
 fn parts(body: CallBody) -> LocalBoxStream<'static, Result<Bytes, BodyBroken>> {
--- /dev/null
+++ b/crates/ibisroute/tests/stored_uploads.rs
@@ -0,0 +1,125 @@
+//! Uploads that find no target: stored durably, then delivered once a target is there.
+
+mod common;
+
+use std::time::Duration;
+
+use common::cluster;
+use common::cluster::SOON;
+use standins::body::Checksum;
+use standins::body::Filler;
+use standins::harness::Cluster;
+use standins::http::Request;
+use standins::http::Response;
+use standins::platform::faults::Outage;
+use standins::platform::faults::PlatformFaults;
+use standins::target::TargetOptions;
+use standins::target::record::RanRequest;
+use standins::wait;
+
+/// Three chunks of the default size, the last one not full.
+const BODY_BYTES: usize = (2 << 20) + 12_345;
+
+fn two_nodes() -> Cluster {
+    let cluster = cluster::builder()
+        .section("uploads", serde_json::json!({"scan_period_ms": 200, "retry_pause_ms": 200}))
+        .data_centre("erongo-1", "erongo", 2)
+        .start()
+        .expect("nodes start");
+    cluster::apply(&cluster, &cluster::catalogue());
+    cluster.wait_ready(SOON).expect("nodes serve");
+    cluster
+}
+
+fn upload(cluster: &Cluster, id: &str) -> Response {
+    let caller = cluster.node(0).addresses().expect("the node runs").caller;
+    Request::new("PUT", format!("http://{caller}/plateroom/scans/{id}"))
+        .header("x-request-id", id)
+        .body(Filler::new(id, BODY_BYTES).whole())
+        .timeout(Duration::from_secs(20))
+        .send()
+        .expect("the node answers")
+}
+
+fn plateroom(cluster: &mut Cluster) {
+    let options = TargetOptions {
+        service: "plateroom".to_string(),
+        instance: "plateroom-1".to_string(),
+        ..TargetOptions::default()
+    };
+    cluster.start_target(1, options).expect("a target starts");
+}
+
+fn delivered(cluster: &Cluster, id: &str) -> Vec<RanRequest> {
+    let records = cluster.targets().flat_map(|(_, t)| t.records());
+    records.filter(|r| r.request_id == id && r.body_whole).collect()
+}
+
+fn assert_delivered(cluster: &Cluster, id: &str) {
+    wait::until_true("the upload is delivered and forgotten", SOON, || {
+        !delivered(cluster, id).is_empty()
+            && cluster.platform().row(&format!("upload/{id}")).is_none()
+            && cluster.platform().object_names(&format!("upload/{id}/")).is_empty()
+    })
+    .expect("the upload is delivered");
+    let whole = Checksum::of(&Filler::new(id, BODY_BYTES).whole());
+    for record in delivered(cluster, id) {
+        assert_eq!((record.body_bytes, record.body_checksum), (BODY_BYTES as u64, whole));
+    }
+}
+
+/// Guards against an acknowledged upload that is lost because no target was there.
+#[test]
+fn stored_upload_is_delivered() {
+    let mut cluster = two_nodes();
+    let answer = upload(&cluster, "scan-1");
+    assert_eq!(answer.status, 202, "{answer:?}");
+    assert_eq!(cluster.platform().rows("upload/").len(), 1);
+    plateroom(&mut cluster);
+    assert_delivered(&cluster, "scan-1");
+}
+
+/// Guards against an acknowledged upload that dies with the node that accepted it.
+#[test]
+fn stored_upload_survives_node() {
+    let mut cluster = two_nodes();
+    let answer = upload(&cluster, "scan-2");
+    assert_eq!(answer.status, 202, "{answer:?}");
+    cluster.kill_nodes(&[0]).expect("the node is killed");
+    plateroom(&mut cluster);
+    assert_delivered(&cluster, "scan-2");
+}
+
+/// Guards against a lost answer of the platform that makes an upload fail, or count as stored when it
+/// is not.
+#[test]
+fn lost_answers_are_repeated() {
+    let mut cluster = two_nodes();
+    cluster.platform().set_faults(PlatformFaults {
+        lose_share: 0.4,
+        seed: 7,
+        ..PlatformFaults::default()
+    });
+    let answers: Vec<(String, u16)> = (0..5)
+        .map(|n| format!("scan-{n}"))
+        .map(|id| (id.clone(), upload(&cluster, &id).status))
+        .collect();
+    let stored: Vec<&str> =
+        answers.iter().filter(|(_, s)| *s == 202).map(|(id, _)| id.as_str()).collect();
+    assert!(!stored.is_empty(), "{answers:?}");
+    cluster.platform().set_faults(PlatformFaults::default());
+    plateroom(&mut cluster);
+    stored.into_iter().for_each(|id| assert_delivered(&cluster, id));
+}
+
+/// Guards against an upload that is acknowledged although neither a target nor the store has it.
+#[test]
+fn no_store_means_not_run() {
+    let cluster = two_nodes();
+    let faults = PlatformFaults { outage: Outage::Unavailable, ..Default::default() };
+    cluster.platform().set_faults(faults);
+    let answer = upload(&cluster, "scan-3");
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert_eq!(answer.header("x-ibis-outcome"), Some("not-run"), "{answer:?}");
+    assert!(cluster.platform().rows("upload/").is_empty());
+}
