Guard floor, push and pause with tests of their own

Cause: with the floor check, the push or the pause detection removed, the tests still passed, because other mechanisms repaired the effect in time. Conclusion: each mechanism has a test that depends on it alone.

--- a/crates/ibisroute/src/membership/state.rs
+++ b/crates/ibisroute/src/membership/state.rs
@@ -28,7 +28,6 @@
 use crate::wire::MemberDatagram;
 use crate::wire::MemberRecordWire;
 use crate::wire::ProbeKind;
-use crate::wire::StatusWire;
 
 /// Bytes that a length prefix can grow by when updates are added to a datagram.
 const LENGTH_PREFIX_BYTES: usize = 4;
@@ -418,15 +417,14 @@
         if from == self.local.node {
             return;
         }
-        let before = (self.local.incarnation, self.local.revision);
         let own = self.local.node.as_str();
-        // The sender remembers an older record of this node, perhaps as dead.
-        let stale_claim = datagram.updates.iter().any(|u| {
-            u.node == own && ((u.incarnation, u.revision) < before || u.status != StatusWire::Alive)
-        });
+        let claims = datagram.updates.iter().filter(|u| u.node == own);
+        let claim = claims.map(|u| (u.incarnation, u.revision)).max();
         for update in datagram.updates {
             self.take_update(now, update);
         }
+        // The sender remembers an older record of this node, or one that was just refuted.
+        let stale_claim = claim.is_some_and(|c| c < (self.local.incarnation, self.local.revision));
         self.compare_peer(&from, datagram.head, datagram.moves_hash);
         // The sender learns what it is remembered as, so that it can refute or raise its
         // incarnation.
--- a/crates/ibisroute/tests/config_versions.rs
+++ b/crates/ibisroute/tests/config_versions.rs
@@ -4,10 +4,19 @@
 #[allow(dead_code)]
 mod config_net;
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+
 use config_net::Net;
+use ibisroute::distribution::distribution_settings::DistributionSettings;
+use ibisroute::distribution::state::Action;
 use ibisroute::distribution::state::Event;
+use ibisroute::distribution::state::Peer;
+use ibisroute::distribution::state::State;
+use ibisroute::types::ConfigVersion;
 use ibisroute::types::Digest;
 use ibisroute::types::Head;
+use ibisroute::types::Millis;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 use quickcheck::TestResult;
@@ -55,6 +64,90 @@
     check(60, property);
 }
 
+/// Guards against a head that reaches only the nodes that can read the table themselves (P10 while
+/// the platform fails for most).
+#[test]
+fn one_reader_is_enough() {
+    fn property(seed: u64) -> TestResult {
+        let mut net = fleet(seed, (seed % 21) as f64 / 100.0);
+        net.publish(true);
+        net.run(3_000);
+        net.platform.only = Some(0);
+        for _ in 0..3 {
+            let head = net.publish(true);
+            net.run(3_000);
+            if !net.all_serve(head) {
+                return verdict(&net, seed, "a node is late", false);
+            }
+        }
+        verdict(&net, seed, "", true)
+    }
+    check(60, property);
+}
+
+/// Guards against a restarted node that serves what stale peers tell it before it knows its floor,
+/// and against any order of events that lowers the version (P1). Version 5 was in effect before the
+/// restart; peers tell versions from 1 up.
+#[test]
+fn floor_holds_in_any_order() {
+    fn property(events: Vec<(u8, u8)>) -> TestResult {
+        let text = |version: u64| format!("good {version}").into_bytes();
+        let head = |version: u64| Head {
+            version: ConfigVersion(version),
+            digest: Digest::of(&text(version)),
+        };
+        let addr = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+        let peers = (0..5).map(|i| Peer {
+            node: format!("node-{i}").parse().expect("node id"),
+            control_addr: addr(10_000 + i),
+            peer_addr: addr(20_000 + i),
+        });
+        let mut state = State::new(DistributionSettings::default(), 1);
+        let mut now = 0;
+        let mut served = 5;
+        let mut queue = vec![Event::Peers(peers.collect())];
+        for (kind, n) in events {
+            now += u64::from(n % 50);
+            let peer = addr(20_000 + u16::from(n % 5));
+            let any = head(u64::from(n % 8) + 1);
+            queue.push(match kind % 6 {
+                0 => Event::PeerHead { head: any, peer_addr: Some(peer) },
+                1 => Event::Notice { head: any, control_addr: addr(10_000), peer_addr: peer },
+                2 => Event::Acknowledged(any),
+                // What covers the restart: the table, and peers that were told.
+                3 if n % 4 == 0 => Event::TableHead(Some(head(5 + u64::from(n % 3)))),
+                3 => Event::TableFailed,
+                4 if n % 4 == 0 => Event::FloorAnswer { peer_addr: peer, head: Some(head(5)) },
+                _ => Event::Tick,
+            });
+            while let Some(event) = queue.pop() {
+                for action in state.step(Millis(now), event) {
+                    match action {
+                        Action::Fetch { head, source, .. } => {
+                            let body = Ok(Arc::from(text(head.version.0)));
+                            queue.push(Event::Fetched { head, source, body });
+                        }
+                        Action::Compile { head, .. } => {
+                            queue.push(Event::Compiled { head, result: Ok(()) });
+                        }
+                        Action::Apply(head) if head.version.0 < served => {
+                            let version = head.version;
+                            return TestResult::error(format!("{version} applied after {served}"));
+                        }
+                        Action::Apply(head) => served = head.version.0,
+                        _ => {}
+                    }
+                }
+            }
+        }
+        TestResult::passed()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(120, 9))
+        .tests(2_000)
+        .quickcheck(property as fn(Vec<(u8, u8)>) -> TestResult);
+}
+
 /// Guards against a fleet that does not serve within 3 s of a mass restart, also while the platform
 /// is slow.
 #[test]
@@ -176,7 +269,7 @@
     let mut net = Net::new(3, 3, 0.0);
     let head = net.publish(true);
     net.run(3_000);
-    let other = Head { digest: Digest::of(b"other"), ..head };
+    let other = Head { digest: net.platform.store(b"good other"), ..head };
     net.event(0, Event::PeerHead { head: other, peer_addr: None });
     net.run(3_000);
     assert!(net.all_serve(head), "seed 3: the head in effect was replaced");
--- a/crates/ibisroute/tests/member_failures.rs
+++ b/crates/ibisroute/tests/member_failures.rs
@@ -107,6 +107,54 @@
     check(40, property);
 }
 
+/// Guards against suspicions that run out while the process that holds them is stopped.
+#[test]
+fn suspicion_outlasts_pause() {
+    fn property(seed: u64) -> TestResult {
+        let mut net = fleet(seed, 0.0);
+        net.cut(0, 1);
+        let suspects = |net: &Net| {
+            let view = net.view(0).expect("running node");
+            view.members.iter().any(|m| m.status == Status::Suspect)
+        };
+        for _ in 0..100 {
+            net.run(100);
+            if suspects(&net) {
+                break;
+            }
+        }
+        if !suspects(&net) {
+            return verdict(&net, seed, "the cut node suspects nobody", false);
+        }
+        net.pause(0, true);
+        net.cut(0, 0);
+        net.run(30_000);
+        net.pause(0, false);
+        net.event(0, Event::Tick);
+        let view = net.view(0).expect("running node");
+        let dead = view.members.iter().any(|m| m.status == Status::Dead);
+        verdict(&net, seed, "the resumed node declared a peer dead at once", !dead)
+    }
+    check(20, property);
+}
+
+/// Guards against a change that spreads with probes alone, which takes a larger fleet too long
+/// (P8: none after 3 s).
+#[test]
+fn draining_target_vanishes_from_large_fleet() {
+    fn property(seed: u64) -> TestResult {
+        let mut net = Net::settled(seed, 40, 0.2);
+        let draining = vec![member_net::target(0, TargetState::Draining)];
+        net.event(0, Event::LocalTargets(draining));
+        net.run(3_000);
+        let late = (0..net.nodes.len())
+            .filter(|i| net.view(*i).is_none_or(|view| ready_targets(&view, "node-00") > 0));
+        let late = late.count();
+        verdict(&net, seed, &format!("still ready at {late} nodes"), late == 0)
+    }
+    check(4, property);
+}
+
 /// Guards against a crashed node that stays in the view, and against records kept for ever.
 #[test]
 fn crashed_node_is_found() {
--- a/crates/ibisroute/tests/member_records.rs
+++ b/crates/ibisroute/tests/member_records.rs
@@ -60,3 +60,19 @@
     }
     check(property as fn(AnyRecord, AnyRecord) -> bool);
 }
+
+/// Guards against another precedence than incarnation, revision, status: a change by the owner
+/// overrides a suspicion of the record before it, and a new run overrides all.
+#[test]
+fn newer_record_wins() {
+    let old = member_net::record(1, 5);
+    let dead = MemberRecord { status: Status::Dead, ..old.clone() };
+    let suspect = MemberRecord { status: Status::Suspect, ..old.clone() };
+    let changed = MemberRecord { revision: 1, ..old.clone() };
+    let restarted = MemberRecord { incarnation: 6, ..old.clone() };
+    assert_eq!(merge(old.clone(), suspect.clone()), suspect);
+    assert_eq!(merge(suspect, dead.clone()), dead);
+    assert_eq!(merge(dead.clone(), changed.clone()), changed);
+    assert_eq!(merge(changed, restarted.clone()), restarted);
+    assert_eq!(merge(restarted.clone(), dead), restarted);
+}
--- a/crates/ibisroute/tests/support/config_net.rs
+++ b/crates/ibisroute/tests/support/config_net.rs
@@ -37,6 +37,8 @@
 pub(crate) struct Platform {
     pub(crate) down: bool,
     pub(crate) latency_ms: u64,
+    /// The only node that can reach the platform, when set.
+    pub(crate) only: Option<usize>,
     pub(crate) head: Option<Head>,
     heads: Vec<Head>,
     objects: BTreeMap<Digest, Arc<[u8]>>,
@@ -78,6 +80,19 @@
     SocketAddr::from(([127, 0, 0, 1], PEER_PORT + index as u16))
 }
 
+impl Platform {
+    fn refuses(&self, index: usize) -> bool {
+        self.down || self.only.is_some_and(|only| only != index)
+    }
+
+    /// Stores an object without a head.
+    pub(crate) fn store(&mut self, bytes: &[u8]) -> Digest {
+        let digest = Digest::of(bytes);
+        self.objects.insert(digest, Arc::from(bytes));
+        digest
+    }
+}
+
 impl Net {
     pub(crate) fn new(seed: u64, count: usize, loss: f64) -> Self {
         let mut net = Self {
@@ -156,7 +171,7 @@
     fn perform(&mut self, index: usize, action: Action, events: &mut Vec<Event>) {
         match action {
             Action::Poll => {
-                let event = if self.platform.down {
+                let event = if self.platform.refuses(index) {
                     Event::TableFailed
                 } else {
                     Event::TableHead(self.platform.head)
@@ -165,7 +180,7 @@
             }
             Action::ReadHistory(version) => {
                 let head = self.platform.heads.iter().find(|h| h.version == version).copied();
-                let head = head.filter(|_| !self.platform.down);
+                let head = head.filter(|_| !self.platform.refuses(index));
                 self.answer(index, Event::History(version, head));
             }
             Action::Notify { to, head } => {
@@ -182,7 +197,8 @@
             }
             Action::Fetch { head, source: Source::Objects, .. } => {
                 let object = self.platform.objects.get(&head.digest).cloned();
-                let body = object.filter(|_| !self.platform.down).ok_or(FetchError::Failed);
+                let body =
+                    object.filter(|_| !self.platform.refuses(index)).ok_or(FetchError::Failed);
                 self.answer(index, Event::Fetched { head, source: Source::Objects, body });
             }
             Action::Fetch { head, source: Source::Peer(addr), .. } => {
--- a/crates/ibisroute/tests/support/member_net.rs
+++ b/crates/ibisroute/tests/support/member_net.rs
@@ -41,6 +41,8 @@
     paused: Vec<bool>,
     group: Vec<u8>,
     queue: BTreeMap<(u64, u64), (usize, Delivery)>,
+    /// Deliveries to paused processes.
+    held: Vec<(usize, Delivery)>,
     sent: u64,
     seed: u64,
     pub(crate) udp_bytes: u64,
@@ -86,6 +88,7 @@
             paused: vec![false; count],
             group: vec![0; count],
             queue: BTreeMap::new(),
+            held: Vec::new(),
             sent: 0,
             seed,
             udp_bytes: 0,
@@ -113,11 +116,19 @@
         self.nodes[index] = None;
         // What was in flight to the old process does not reach a new one.
         self.queue.retain(|_, (to, _)| *to != index);
+        self.held.retain(|(to, _)| *to != index);
     }
 
     /// A paused process keeps its received datagrams until it resumes.
     pub(crate) fn pause(&mut self, index: usize, paused: bool) {
         self.paused[index] = paused;
+        let held = std::mem::take(&mut self.held);
+        let (due, held) = held.into_iter().partition(|(to, _)| *to == index && !paused);
+        self.held = held;
+        for delivery in due {
+            self.sent += 1;
+            self.queue.insert((self.now + 1, self.sent), delivery);
+        }
     }
 
     pub(crate) fn cut(&mut self, index: usize, group: u8) {
@@ -183,12 +194,12 @@
     fn deliver(&mut self) {
         let later = self.queue.split_off(&(self.now + 1, 0));
         let due = std::mem::replace(&mut self.queue, later);
-        for (key, (to, delivery)) in due {
+        for (_, (to, delivery)) in due {
             if self.nodes[to].is_none() {
                 continue;
             }
             if self.paused[to] {
-                self.queue.insert((self.now + 1, key.1), (to, delivery));
+                self.held.push((to, delivery));
                 continue;
             }
             match delivery {
