Show that the control tests can fail

Cause: a test that passes with its mechanism removed guards nothing. Change: the other digest is checked every 20 ms, and the large fleet gets 1.2 s, because probes alone reached 40 nodes within 3 s.

--- a/crates/ibisroute/tests/config_versions.rs
+++ b/crates/ibisroute/tests/config_versions.rs
@@ -271,8 +271,10 @@
     net.run(3_000);
     let other = Head { digest: net.platform.store(b"good other"), ..head };
     net.event(0, Event::PeerHead { head: other, peer_addr: None });
-    net.run(3_000);
-    assert!(net.all_serve(head), "seed 3: the head in effect was replaced");
+    for _ in 0..150 {
+        net.run(20);
+        assert!(net.all_serve(head), "seed 3: the head in effect was replaced");
+    }
     let next = net.publish(true);
     net.run(3_000);
     assert!(net.all_serve(next), "seed 3: a higher version was not accepted afterwards");
--- a/crates/ibisroute/tests/member_failures.rs
+++ b/crates/ibisroute/tests/member_failures.rs
@@ -138,21 +138,21 @@
     check(20, property);
 }
 
-/// Guards against a change that spreads with probes alone, which takes a larger fleet too long
-/// (P8: none after 3 s).
+/// Guards against a change that spreads with probes alone, which takes a fleet of the target size
+/// too long (P8: none after 3 s). A fleet of 40 has fewer hops and gets 1.2 s.
 #[test]
 fn draining_target_vanishes_from_large_fleet() {
     fn property(seed: u64) -> TestResult {
-        let mut net = Net::settled(seed, 40, 0.2);
+        let mut net = Net::settled(seed, 40, 0.1);
         let draining = vec![member_net::target(0, TargetState::Draining)];
         net.event(0, Event::LocalTargets(draining));
-        net.run(3_000);
+        net.run(1_200);
         let late = (0..net.nodes.len())
             .filter(|i| net.view(*i).is_none_or(|view| ready_targets(&view, "node-00") > 0));
         let late = late.count();
         verdict(&net, seed, &format!("still ready at {late} nodes"), late == 0)
     }
-    check(4, property);
+    check(6, property);
 }
 
 /// Guards against a crashed node that stays in the view, and against records kept for ever.
