State the resolution of open-loop latencies

Cause: trial runs in release mode showed a p50 of about 1.1 ms in an open loop and 0.1 ms in a closed loop with 4 calls at a time against the same target. Change: the doc comment of the histogram names the timer's resolution. Conclusion: added latency is to be measured in closed loops.

--- a/crates/standins/src/caller/tally.rs
+++ b/crates/standins/src/caller/tally.rs
@@ -101,7 +101,8 @@
     pub late: u64,
     /// Whole answers by version of the target.
     pub by_version: BTreeMap<String, u64>,
-    /// Latency of whole answers in microseconds; from the scheduled start in an open loop.
+    /// Latency of whole answers in microseconds; from the scheduled start in an open loop, which
+    /// adds about 1 ms because the runtime's timer has that resolution.
     pub latency_us: Histogram<u64>,
 }
 
