Run the quick start against real nodes

Cause: the quick start was written before ibisctl and used other arguments, and calls could start before the targets were ready. Result: not run yet with this change.

--- a/crates/ibisroute/tests/common/cluster.rs
+++ b/crates/ibisroute/tests/common/cluster.rs
@@ -111,25 +111,7 @@
         };
         cluster.start_target(node, options).expect("a target starts");
     }
-    wait_ready_targets(cluster, count);
-}
-
-/// Waits until every node sees `count` targets in state ready.
-pub(crate) fn wait_ready_targets(cluster: &Cluster, count: usize) {
-    cluster
-        .wait_all("ready targets", SOON, |node| ready_targets(node) >= count)
-        .expect("targets become ready");
-}
-
-fn ready_targets(node: &standins::harness::Node) -> usize {
-    let Some(answer) = node.admin("/members") else { return 0 };
-    let Ok(view) = serde_json::from_slice::<Value>(&answer.body) else { return 0 };
-    let members = view["members"].as_array().cloned().unwrap_or_default();
-    let targets = members
-        .iter()
-        .filter(|m| m["status"] == "Alive")
-        .flat_map(|m| m["targets"].as_array().cloned().unwrap_or_default());
-    targets.filter(|t| t["state"] == "Ready").count()
+    cluster.wait_targets(count, SOON).expect("targets become ready");
 }
 
 /// Applies a catalogue with `ibisctl` and returns its version.
--- a/crates/standins/src/bin/quickstart.rs
+++ b/crates/standins/src/bin/quickstart.rs
@@ -2,7 +2,6 @@
 //! all classes, and a move of the service `counter` to a new version. Exits with 0 only when no
 //! call failed, the move finished and everything stopped cleanly.
 
-use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -38,6 +37,9 @@
 const TO: &str = "v2";
 const MOVE: &str = "counter-v2";
 
+/// Author of the changes.
+const AUTHOR: &str = "quickstart";
+
 /// Time for the nodes to find one another and to take a version.
 const START_BOUND: Duration = Duration::from_secs(20);
 
@@ -148,8 +150,8 @@
     let start = unix_ms();
     let finish_by = start + length.as_millis() as u64;
     let (start, finish_by) = (start.to_string(), finish_by.to_string());
-    let declare = ["move", "declare", MOVE, "--service", SERVICE, "--to", TO];
-    let times = ["--start-unix-ms", &start, "--finish-by-unix-ms", &finish_by];
+    let declare = ["move", "declare", "--id", MOVE, "--service", SERVICE, "--to", TO];
+    let times = ["--start", &start, "--finish-by", &finish_by, "--author", AUTHOR];
     ctl(cluster, &[&declare[..], &times[..]].concat())?;
     let key = format!("move/{MOVE}/outcome");
     let outcome = wait::until("the outcome of the move", length + OUTCOME_BOUND, || {
@@ -204,20 +206,16 @@
         }
     }
     eyre::ensure!(!moving.is_empty(), "{} has no service {SERVICE}", path.display());
-    ctl(cluster, &["apply", text(path)?])?;
-    cluster.wait_version(1, START_BOUND)?;
+    cluster.wait_targets(nodes, START_BOUND)?;
+    let admin = cluster.node(0).addresses()?.admin.to_string();
+    let apply = ["catalogue", "apply", text(path)?, "--author", AUTHOR, "--wait"];
+    ctl(cluster, &[&["--node", &admin], &apply[..]].concat())?;
     cluster.wait_ready(START_BOUND)?;
     println!("version 1 is in effect on all nodes; calls start, seed {seed}");
 
     let length = Duration::from_secs(*length);
     let (summary, outcome) = serve_and_move(cluster, &document, length, *seed, &moving)?;
-    ctl(cluster, &["report", "move", MOVE])?;
-    let admins: Vec<SocketAddr> = cluster
-        .nodes()
-        .iter()
-        .map(|node| node.addresses().map(|addresses| addresses.admin))
-        .collect::<eyre::Result<_>>()?;
-    let admin = admins.first().ok_or_eyre("there is no node")?.to_string();
+    ctl(cluster, &["--node", &admin, "move", "show", MOVE])?;
     ctl(cluster, &["--node", &admin, "report", "burn"])?;
     println!("{}", serde_json::to_string_pretty(&summary.to_json())?);
 
--- a/crates/standins/src/harness/mod.rs
+++ b/crates/standins/src/harness/mod.rs
@@ -7,6 +7,7 @@
 mod catalogue;
 mod cluster;
 mod process;
+mod targets;
 
 pub use catalogue::apply_catalogue;
 pub use cluster::Builder;
