--- a/crates/ibisroute/src/moves/evaluator.rs
+++ b/crates/ibisroute/src/moves/evaluator.rs
@@ -49,6 +49,9 @@
 /// Time for which a state of an undeclared move is kept: its catalogue may be on the way.
 const KEEP_UNDECLARED: Millis = Millis(600_000);
 
+/// Longest delay of "finished" by an open suspicion that the old version's calls speak against.
+const SUSPICION_WAIT: Millis = Millis(4_000);
+
 /// States in one datagram: with the longest ids and reasons they stay below its limit.
 const STATES_PER_NOTICE: usize = 4;
 
@@ -185,6 +188,8 @@
     declared: Move,
     /// Whether something may have been recorded before this node knew the move.
     must_read: bool,
+    /// Known targets of the new version.
+    new_targets: u64,
     own: Counters,
     unsent: bool,
     own_runs: u64,
@@ -208,6 +213,7 @@
         Self {
             declared,
             must_read,
+            new_targets: 0,
             own: Counters::new(),
             unsent: false,
             own_runs: 0,
@@ -408,6 +414,12 @@
             })
         };
         self.owners = self.tracks.keys().map(|id| (id.clone(), rank(id).collect())).collect();
+        for track in self.tracks.values_mut() {
+            let declared = &track.declared;
+            let targets = members.live().flat_map(|m| &m.targets);
+            let new = targets.filter(|t| t.service == declared.service && t.version == declared.to);
+            track.new_targets = new.count() as u64;
+        }
     }
 
     fn count(&mut self, counts: &TrafficCounts) {
@@ -453,6 +465,8 @@
         let stage_warm_up = self.settings.stage_warm_up.0.min(length / 50);
         let warm_up = WarmUp {
             first: Millis(self.settings.warm_up.0.min(length / 10)),
+            calls: self.settings.warm_up_calls * track.new_targets.max(1),
+            longest: Millis((length as f64 * self.settings.last_stage_percent / 200.0) as u64),
             stage_until: Millis(track.stage_mark.1.0 + stage_warm_up),
         };
         let to = track.declared.to.clone();
@@ -641,6 +655,7 @@
         let Some(track) = self.tracks.get_mut(id) else { return };
         if track.stage_mark.0 != state.stage {
             track.stage_mark = (state.stage, now, track.judge.calls());
+            track.judge.begin_stage(now);
         }
     }
 
@@ -696,12 +711,19 @@
             return;
         }
         let due = UnixMillis(track.declared.finish_by.0 + self.settings.settle.0);
+        let leaning = match track.judge.is_suspicious() && unix_now >= due {
+            true => track.judge.leaning(now),
+            false => None,
+        };
         let (outcome, reason) = match state.phase() {
             Phase::Withdrawn => (Ending::TakenBack, state.reason.clone()),
             // The row is there already; the write only finds it.
             Phase::Finished => (Ending::Finished, SmolStr::default()),
             _ if unix_now < due => return,
-            _ if track.judge.is_suspicious() && unix_now.0 < due.0 + 4_000 => return,
+            _ if leaning.is_some() => {
+                (Ending::TakenBack, leaning.map(|l| shorten(&l.reason())).unwrap_or_default())
+            }
+            _ if track.judge.is_suspicious() && unix_now.0 < due.0 + SUSPICION_WAIT.0 => return,
             _ if state.stage == schedule::LAST_STAGE
                 && has_evidence(track, state.stage, &self.settings) =>
             {
--- a/crates/ibisroute/src/moves/evidence.rs
+++ b/crates/ibisroute/src/moves/evidence.rs
@@ -80,10 +80,13 @@
         *runs = report.failure_runs.max(*runs);
         for (key, counts) in &report.counters {
             let known = counters.entry(key.clone()).or_default();
-            let before = known.clone();
+            if known == counts {
+                continue;
+            }
+            let new = difference(counts, known);
             known.merge_max(counts);
-            if *known != before {
-                added.counters.insert(key.clone(), difference(known, &before));
+            if new != OutcomeCounts::default() {
+                added.counters.insert(key.clone(), new);
             }
         }
         added
--- a/crates/ibisroute/src/moves/move_settings.rs
+++ b/crates/ibisroute/src/moves/move_settings.rs
@@ -13,6 +13,10 @@
     /// Log-likelihood ratio that condemns; the expected calls between false alarms grow with its
     /// exponential.
     pub score: f64,
+    /// Log-likelihood ratio at which the old version, in the same time, counts as clearly better.
+    /// It is a martingale when one cause hits both versions, so that looking at it again and again
+    /// exceeds this with a chance of at most its negative exponential.
+    pub clear: f64,
     /// Excess of the failure share that the test is made to find, as a fraction.
     pub failure_excess: f64,
     /// Excess of the share of slow calls that the test is made to find, as a fraction.
@@ -46,6 +50,9 @@
     /// Slow calls are ignored for this long after the first call on the new version; a tenth of
     /// the move when that is shorter.
     pub warm_up: Millis,
+    /// Slow calls are also ignored among this many first calls for each target of the new version,
+    /// but not beyond the second stage.
+    pub warm_up_calls: u64,
     /// Slow calls are ignored for this long after a stage begins; a fiftieth of the move when that
     /// is shorter.
     pub stage_warm_up: Millis,
@@ -82,10 +89,11 @@
             push_again: Millis(100),
             first_stage_rate: 50.0,
             last_stage_percent: 70.0,
-            hold_back_percent: 5.0,
+            hold_back_percent: 10.0,
             min_stage_calls: 30,
             min_stage: Millis(10_000),
             warm_up: Millis(15_000),
+            warm_up_calls: 10,
             stage_warm_up: Millis(3_000),
             settle: Millis(500),
             local_stop: Millis(5_000),
@@ -94,9 +102,24 @@
             report_takeover: Millis(10_000),
             peer_timeout: Millis(400),
             report_timeout: Millis(5_000),
-            cautious: Thresholds { score: 10.0, failure_excess: 0.02, slow_excess: 0.10 },
-            balanced: Thresholds { score: 12.0, failure_excess: 0.03, slow_excess: 0.12 },
-            tolerant: Thresholds { score: 14.0, failure_excess: 0.05, slow_excess: 0.15 },
+            cautious: Thresholds {
+                score: 10.0,
+                clear: 5.5,
+                failure_excess: 0.02,
+                slow_excess: 0.10,
+            },
+            balanced: Thresholds {
+                score: 12.0,
+                clear: 6.5,
+                failure_excess: 0.03,
+                slow_excess: 0.12,
+            },
+            tolerant: Thresholds {
+                score: 14.0,
+                clear: 7.5,
+                failure_excess: 0.05,
+                slow_excess: 0.15,
+            },
         }
     }
 }
--- a/crates/ibisroute/src/moves/verdict.rs
+++ b/crates/ibisroute/src/moves/verdict.rs
@@ -32,18 +32,31 @@
 /// Consecutive failures over the fleet that make a suspicion, for all thresholds.
 const RUN_LENGTH: u64 = 5;
 
-/// Longest wait for calls of the old version when more than half of the calls are bad. With the
+/// Share of bad calls above which the wait is short.
+const GROSS: f64 = 0.6;
+
+/// Longest wait for calls of the old version when most calls are bad. With the
 /// evidence interval it keeps a withdrawal below one second.
 const WAIT_GROSS_MS: u64 = 600;
 
 /// Longest wait for calls of the old version when fewer calls are bad.
 const WAIT_SLIGHT_MS: u64 = 3_000;
 
-/// Chance at which the old version counts as clearly better.
-const CLEAR: f64 = 0.05;
+/// Bound of a score, as a multiple of the threshold.
+const SCORE_CAP: f64 = 1.25;
+
+/// Log-likelihood ratio that decides an open suspicion at the end of the move.
+const LEANING: f64 = 2.5;
+
+/// Share of the new version's bad calls that the old version must clearly stay below. A cause that
+/// hits both does not hit them equally.
+const BETTER: f64 = 0.7;
 
-/// Expected bad calls of the old version below which its calls say too little.
-const FEW_EXPECTED: f64 = 3.0;
+/// Expected bad calls of the old version below which its calls say nothing.
+const FEW_EXPECTED: f64 = 1.0;
+
+/// Longest time before a suspicion from which the versions are compared.
+const LOOK_BACK_MS: u64 = 10_000;
 
 /// Calls of the old version before its own latency sets the limit for slow calls.
 const LATENCY_CALLS: u64 = 50;
@@ -110,6 +123,19 @@
     new: Tally,
 }
 
+/// The versions in the same window.
+#[derive(Clone, Copy, Debug)]
+struct Comparison {
+    /// The new version's share of bad calls.
+    share: f64,
+    /// Log-likelihood ratio of the old version's calls that decide: as usual, over as bad.
+    decisive: f64,
+    /// The same over all entries.
+    all: f64,
+    /// Whether the old version's calls are too few to say anything.
+    silent: bool,
+}
+
 /// Cumulative sum of log-likelihood ratios, reset at zero.
 #[derive(Clone, Copy, Debug, Default)]
 struct Score {
@@ -127,12 +153,15 @@
     run: u64,
     run_at: Millis,
     run_crossed_at: Option<Millis>,
+    /// First call on the new version; kept for all entries together.
     first_new: Option<Millis>,
     latency: LatencyHistogram,
     latency_calls: u64,
     slow_bucket: Option<usize>,
     peak_old_calls: u64,
     new_calls: u64,
+    /// When the present stage began.
+    stage_at: Millis,
 }
 
 impl Watch {
@@ -167,7 +196,6 @@
     }
 
     fn add_new(&mut self, now: Millis, tally: &Tally) {
-        self.first_new.get_or_insert(now);
         self.pending.add(tally);
         self.slot(now).new.add(tally);
         let (ran, failed) = tally.of(Fault::Failures);
@@ -186,16 +214,19 @@
         self.run += failed;
     }
 
-    /// The old version's share of bad calls: the larger of the share over the whole move and the
-    /// present one.
-    fn expected_share(&self, now: Millis, fault: Fault) -> f64 {
+    /// The old version's share of bad calls over the whole move.
+    fn usual_share(&self, fault: Fault) -> f64 {
         let (calls, bad) = self.baseline.of(fault);
-        let whole = (bad as f64 + 0.5) / (calls as f64 + 50.0);
+        let floor = if fault == Fault::Failures { 0.002 } else { 0.01 };
+        ((bad as f64 + 0.5) / (calls as f64 + 50.0)).max(floor)
+    }
+
+    /// The larger of the old version's usual and present share of bad calls.
+    fn expected_share(&self, now: Millis, fault: Fault) -> f64 {
         let (recent, _) = self.window(Millis(now.0.saturating_sub(RECENT_MS)));
         let (calls, bad) = recent.of(fault);
         let present = if calls < RECENT_CALLS { 0.0 } else { bad as f64 / calls as f64 };
-        let floor = if fault == Fault::Failures { 0.002 } else { 0.01 };
-        whole.max(present).max(floor)
+        self.usual_share(fault).max(present)
     }
 
     fn advance(&mut self, now: Millis, thresholds: &Thresholds, together: bool) {
@@ -215,7 +246,7 @@
                 score.rise_at = now;
             }
             // The upper bound lets the score fall again soon after a cause that hit both versions.
-            score.value = (score.value + gain).clamp(0.0, 2.0 * thresholds.score);
+            score.value = (score.value + gain).clamp(0.0, SCORE_CAP * thresholds.score);
             match (score.value >= thresholds.score, score.crossed_at) {
                 (true, None) => score.crossed_at = Some(now),
                 (false, Some(_)) => score.crossed_at = None,
@@ -234,31 +265,67 @@
         calls > RECENT_CALLS && calls as f64 > OVERLOAD * self.peak_old_calls as f64
     }
 
-    /// Whether the old version did clearly better since `rise`; `None` while that is open.
-    fn confirm(&self, now: Millis, fault: Fault, rise: Millis, crossed: Millis) -> Option<f64> {
-        let (old, new) = self.window(rise);
+    /// Compares the versions since a score rose.
+    ///
+    /// The calls of the old version on all entries (`all`) take part when this entry has few: a
+    /// cause that hits both versions shows there as well, and a fault on one entry does not. `None`
+    /// when the new version shows no fault, or others show it better.
+    fn compare(
+        &self,
+        fault: Fault,
+        rise: Millis,
+        crossed: Millis,
+        all: Option<&Watch>,
+    ) -> Option<Comparison> {
+        // While the share changes, the versions get their calls at different times. A cause that
+        // comes and goes would then hit them unequally, so that only the present stage compares.
+        let from = rise.max(self.stage_at).max(Millis(crossed.0.saturating_sub(LOOK_BACK_MS)));
+        let (old, new) = self.window(from);
         let (new_calls, new_bad) = new.of(fault);
-        if new_calls == 0 {
+        if new_bad == 0 {
             return None;
         }
-        let share = new_bad as f64 / new_calls as f64;
-        let (old_calls, old_bad) = old.of(fault);
-        let better = share / 2.0;
-        if old_bad as f64 > better * old_calls as f64 {
+        let (own_calls, own_bad) = old.of(fault);
+        let (all_old, all_new) = all.map_or((old, new), |all| all.window(from));
+        let (all_calls, all_bad) = all_old.of(fault);
+        // Entries differ in how a common cause shows. With few calls of its own, an entry counts as
+        // the only faulty one when it has half of all bad calls; otherwise the others decide.
+        if own_calls < RECENT_CALLS && 2 * new_bad < all_new.of(fault).1 {
             return None;
         }
-        if binomial_at_most(old_calls, old_bad, better) <= CLEAR {
-            return Some(share);
-        }
-        let wait = if share >= 0.5 { WAIT_GROSS_MS } else { WAIT_SLIGHT_MS };
-        let few = old_calls as f64 * better < FEW_EXPECTED;
-        (few && now.since(crossed).0 >= wait).then_some(share)
+        let share = new_bad as f64 / new_calls as f64;
+        let common = BETTER * new_bad as f64 / (new_calls + 1) as f64;
+        let usual = self.usual_share(fault).min(common / 2.0);
+        let clear = |calls: u64, bad: u64| {
+            bad as f64 * (usual / common).ln()
+                + (calls - bad) as f64 * ((1.0 - usual) / (1.0 - common)).ln()
+        };
+        let (own, all) = (clear(own_calls, own_bad), clear(all_calls, all_bad));
+        let decisive = if own_calls < RECENT_CALLS { all } else { own };
+        let silent = all_bad == 0 && all_calls as f64 * common < FEW_EXPECTED;
+        Some(Comparison { share, decisive, all, silent })
+    }
+
+    /// The share of bad calls when the old version did clearly better, or said nothing for too long.
+    fn confirm(
+        &self,
+        now: Millis,
+        crossed: Millis,
+        found: &Comparison,
+        clear_at: f64,
+    ) -> Option<f64> {
+        let wait = if found.share >= GROSS { WAIT_GROSS_MS } else { WAIT_SLIGHT_MS };
+        let waited = found.silent && now.since(crossed).0 >= wait;
+        let clear = found.decisive >= clear_at && found.all >= 0.0;
+        (clear || waited).then_some(found.share)
     }
 
-    fn verdict(&self, now: Millis) -> Option<(Fault, f64)> {
+    fn verdict(&self, now: Millis, all: Option<&Watch>, clear_at: f64) -> Option<(Fault, f64)> {
         for (score, fault) in self.scores.iter().zip(FAULTS) {
             let Some(crossed) = score.crossed_at else { continue };
-            let Some(share) = self.confirm(now, fault, score.rise_at, crossed) else { continue };
+            let found = self.compare(fault, score.rise_at, crossed, all);
+            let share = found.and_then(|found| self.confirm(now, crossed, &found, clear_at));
+            let Some(share) = share else { continue };
             let gross = fault == Fault::Failures && share >= OVERLOAD_SHARE;
             if !gross && self.is_overloaded(now) {
                 continue;
@@ -266,7 +333,8 @@
             return Some((fault, share));
         }
         let crossed = self.run_crossed_at?;
-        let share = self.confirm(now, Fault::Failures, self.run_at, crossed)?;
+        let found = self.compare(Fault::Failures, self.run_at, crossed, all)?;
+        let share = self.confirm(now, crossed, &found, clear_at)?;
         let usual = self.expected_share(now, Fault::Failures);
         (share >= 0.5 && usual < 0.25).then_some((Fault::Failures, share))
     }
@@ -284,24 +352,6 @@
     }
 }
 
-/// Chance of at most `bad` among `calls` when each is bad with chance `p`.
-fn binomial_at_most(calls: u64, bad: u64, p: f64) -> f64 {
-    if bad >= calls || p <= 0.0 {
-        return 1.0;
-    }
-    if p >= 1.0 {
-        return 0.0;
-    }
-    let odds = (p / (1.0 - p)).ln();
-    let mut term = calls as f64 * (1.0 - p).ln();
-    let mut sum = term.exp();
-    for k in 0..bad {
-        term += ((calls - k) as f64 / (k + 1) as f64).ln() + odds;
-        sum += term.exp();
-    }
-    sum.min(1.0)
-}
-
 /// A confirmed fault of the new version.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Condemned {
@@ -332,11 +382,15 @@
     runs: BTreeMap<SmolStr, Millis>,
 }
 
-/// Which slow calls of the new version count.
+/// Which slow calls of the new version are ignored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WarmUp {
     /// Time after the first call on the new version.
     pub first: Millis,
+    /// Calls on the new version: each target has its own cold start.
+    pub calls: u64,
+    /// Time after the first call, beyond which calls count even when there were fewer.
+    pub longest: Millis,
     /// End of the time after the present stage began.
     pub stage_until: Millis,
 }
@@ -378,8 +432,9 @@
             .slow_bucket
             .unwrap_or_else(|| slow_bucket(&watch.latency, watch.latency_calls, objective));
         let mut tally = tally(counts, Some(bucket));
-        let first = *watch.first_new.get_or_insert(now);
-        if !settled || now.since(first) < warm_up.first || now < warm_up.stage_until {
+        let elapsed = now.since(*self.together.first_new.get_or_insert(now));
+        let cold = elapsed < warm_up.first || self.together.new_calls < warm_up.calls;
+        if !settled || cold && elapsed < warm_up.longest || now < warm_up.stage_until {
             tally.timed = 0;
             tally.slow = 0;
         }
@@ -403,28 +458,60 @@
         (self.together.new_calls, self.together.baseline.calls + self.together.new_calls)
     }
 
-    /// Whether a suspicion is open.
+    /// Notes that another stage began.
+    pub fn begin_stage(&mut self, now: Millis) {
+        self.entries.values_mut().chain([&mut self.together]).for_each(|w| w.stage_at = now);
+    }
+
+    /// Whether a suspicion is open that the old version's calls do not speak against.
     pub fn is_suspicious(&self) -> bool {
-        self.entries.values().chain([&self.together]).any(Watch::is_suspicious)
+        self.entries.values().any(|w| w.is_suspicious(Some(&self.together)))
+            || self.together.is_suspicious(None)
+    }
+
+    /// The open suspicion that the calls of the old version speak for rather than against, when the
+    /// new version still shows it. Asked at the end of the move, when no time is left for more calls.
+    pub fn leaning(&self, now: Millis) -> Option<Condemned> {
+        for (entry, watch) in &self.entries {
+            if let Some((fault, share)) = watch.leaning(now, Some(&self.together)) {
+                return Some(Condemned { entry: Some(entry.clone()), fault, share });
+            }
+        }
+        let (fault, share) = self.together.leaning(now, None)?;
+        Some(Condemned { entry: None, fault, share })
     }
 
     /// Looks at all counts added since the last look.
     pub fn judge(&mut self, now: Millis, thresholds: &Thresholds) -> Option<Condemned> {
         for (entry, watch) in &mut self.entries {
             watch.advance(now, thresholds, false);
-            if let Some((fault, share)) = watch.verdict(now) {
+            if let Some((fault, share)) = watch.verdict(now, Some(&self.together), thresholds.clear)
+            {
                 return Some(Condemned { entry: Some(entry.clone()), fault, share });
             }
         }
         self.together.advance(now, thresholds, true);
-        let (fault, share) = self.together.verdict(now)?;
+        let (fault, share) = self.together.verdict(now, None, thresholds.clear)?;
         Some(Condemned { entry: None, fault, share })
     }
 }
 
 impl Watch {
-    fn is_suspicious(&self) -> bool {
-        self.run_crossed_at.is_some() || self.scores.iter().any(|s| s.crossed_at.is_some())
+    fn leaning(&self, now: Millis, all: Option<&Watch>) -> Option<(Fault, f64)> {
+        let (fault, share) = self.verdict(now, all, LEANING)?;
+        let (_, recent) = self.window(Millis(now.0.saturating_sub(RECENT_MS)));
+        let (calls, bad) = recent.of(fault);
+        (bad as f64 >= share / 2.0 * calls as f64).then_some((fault, share))
+    }
+
+    /// Whether a suspicion is open that the old version's calls do not speak against.
+    fn is_suspicious(&self, all: Option<&Watch>) -> bool {
+        let scores = self.scores.iter().zip(FAULTS);
+        let scores = scores.filter_map(|(s, f)| s.crossed_at.map(|at| (f, s.rise_at, at)));
+        let run = self.run_crossed_at.map(|at| (Fault::Failures, self.run_at, at));
+        scores.chain(run).any(|(fault, rise, crossed)| {
+            self.compare(fault, rise, crossed, all).is_some_and(|found| found.all >= 0.0)
+        })
     }
 }
 
--- /dev/null
+++ b/crates/ibisroute/tests/move_fleet.rs
@@ -0,0 +1,454 @@
+//! Guards against nodes that disagree about a move, calls that reach a bad version long after its
+//! fault was visible, and outcomes that are lost with the table's answers: several nodes in memory.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ibisroute::catalogue::model::Catalogue;
+use ibisroute::catalogue::model::Class;
+use ibisroute::catalogue::model::Entry;
+use ibisroute::catalogue::model::Limits;
+use ibisroute::catalogue::model::Move;
+use ibisroute::catalogue::model::Objective;
+use ibisroute::catalogue::model::Service;
+use ibisroute::catalogue::model::Withdrawal;
+use ibisroute::membership::record::Addresses;
+use ibisroute::membership::record::MemberRecord;
+use ibisroute::membership::record::MemberView;
+use ibisroute::membership::record::Status;
+use ibisroute::moves::evaluator::Action;
+use ibisroute::moves::evaluator::Evaluator;
+use ibisroute::moves::evaluator::Event;
+use ibisroute::moves::evaluator::MoveReport;
+use ibisroute::moves::move_settings::MoveSettings;
+use ibisroute::moves::outcome::Ending;
+use ibisroute::moves::outcome::NOT_ENOUGH_EVIDENCE;
+use ibisroute::moves::outcome::RecordedOutcome;
+use ibisroute::moves::state::Phase;
+use ibisroute::snapshot::CompiledCatalogue;
+use ibisroute::snapshot::MoveView;
+use ibisroute::telemetry::TrafficCounts;
+use ibisroute::types::ByteSize;
+use ibisroute::types::Head;
+use ibisroute::types::Millis;
+use ibisroute::types::Percent;
+use ibisroute::types::RatePerSecond;
+use ibisroute::types::UnixMillis;
+use ibisroute::wire::MoveStateWire;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Wall clock at the start of each test.
+const BEGIN: u64 = 1_000_000;
+
+/// The move starts this long after the test.
+const START: u64 = 5_000;
+
+/// The move must finish this long after the test started.
+const FINISH: u64 = 65_000;
+
+/// Resolution of the simulated time.
+const STEP: u64 = 50;
+
+/// One way between nodes.
+const DELAY: u64 = 5;
+
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(s: &str) -> T {
+    s.parse().expect("valid name")
+}
+
+fn addr(node: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1000 + node as u16))
+}
+
+fn catalogue(withdrawal: Withdrawal) -> Arc<CompiledCatalogue> {
+    let service = Service {
+        name: name("counter"),
+        owner: "desk".into(),
+        version: name("v1"),
+        report_url: None,
+        withdrawal,
+    };
+    let entry = Entry {
+        name: name("search"),
+        owner: "desk".into(),
+        class: Class::CounterQuery,
+        service: name("counter"),
+        path: "/search".into(),
+        methods: vec!["GET".into()],
+        idempotency_header: None,
+        limits: Limits {
+            rate: RatePerSecond(2000.0),
+            concurrency: 64,
+            deadline: Millis(2000),
+            retry: Percent(10.0),
+            max_body: ByteSize(65536),
+        },
+        objective: Objective { success: Percent(99.9), latency: Millis(250) },
+    };
+    let declared = Move {
+        id: name("m"),
+        service: name("counter"),
+        from: name("v1"),
+        to: name("v2"),
+        start: UnixMillis(BEGIN + START),
+        finish_by: UnixMillis(BEGIN + FINISH),
+    };
+    let catalogue = Catalogue {
+        name: "test".into(),
+        services: vec![service],
+        entries: vec![entry],
+        moves: vec![declared],
+    };
+    Arc::new(CompiledCatalogue::new(Head::default(), catalogue, Arc::from(Vec::new())))
+}
+
+fn members(local: usize, count: usize) -> Arc<MemberView> {
+    let member = |i: usize| MemberRecord {
+        node: name(&format!("n{i:03}")),
+        incarnation: 1,
+        revision: 1,
+        status: Status::Alive,
+        data_centre: name("dc"),
+        region: name("region"),
+        addresses: Addresses { control: addr(i), peer: addr(i), caller: addr(i), admin: addr(i) },
+        targets: Vec::new(),
+    };
+    let local = name(&format!("n{local:03}"));
+    Arc::new(MemberView { local, members: (0..count).map(member).collect() })
+}
+
+/// The outcome row, and how the table answers.
+#[derive(Default)]
+struct Table {
+    row: Option<RecordedOutcome>,
+    down_until: u64,
+    /// Writes that take effect without an answer.
+    lose_answers: u32,
+    writers: BTreeSet<String>,
+}
+
+impl Table {
+    /// As the actor does it: conditional insert, then a read when the answer was lost.
+    fn write(&mut self, now: u64, outcome: RecordedOutcome) -> Result<RecordedOutcome, String> {
+        if now < self.down_until {
+            return Err("down".to_string());
+        }
+        self.writers.insert(outcome.by.to_string());
+        let row = self.row.get_or_insert(outcome).clone();
+        if self.lose_answers > 0 {
+            self.lose_answers -= 1;
+            return Err("no answer".to_string());
+        }
+        Ok(row)
+    }
+}
+
+struct Fleet {
+    now: u64,
+    nodes: Vec<Evaluator>,
+    views: Vec<MoveView>,
+    table: Table,
+    reports: u32,
+    /// Events on their way: time, node, event.
+    queue: Vec<(u64, usize, Event)>,
+    rng: SmallRng,
+    /// Share of datagrams that get lost.
+    loss: f64,
+}
+
+impl Fleet {
+    fn new(count: usize, seed: u64, withdrawal: Withdrawal) -> Self {
+        let config = catalogue(withdrawal);
+        let mut queue = Vec::new();
+        let node = |i: usize| {
+            queue.push((0, i, Event::Configuration(config.clone())));
+            queue.push((0, i, Event::Members(members(i, count))));
+            let id = name(&format!("n{i:03}"));
+            Evaluator::new(id, 1, MoveSettings::default(), seed + i as u64)
+        };
+        Self {
+            now: 0,
+            nodes: (0..count).map(node).collect(),
+            views: vec![MoveView::default(); count],
+            table: Table::default(),
+            reports: 0,
+            queue,
+            rng: SmallRng::seed_from_u64(seed),
+            loss: 0.0,
+        }
+    }
+
+    fn node_at(&self, to: SocketAddr) -> usize {
+        usize::from(to.port()) - 1000
+    }
+
+    fn perform(&mut self, from: usize, action: Action) {
+        let (now, later) = (self.now, self.now + DELAY);
+        match action {
+            Action::Notify { to, states } => {
+                for to in to {
+                    let to = self.node_at(to);
+                    if self.rng.random::<f64>() >= self.loss {
+                        self.queue.push((later, to, Event::States(states.clone())));
+                    }
+                }
+            }
+            Action::SendEvidence { to, evidence } => {
+                let to = self.node_at(to);
+                self.queue.push((later, to, Event::Evidence(evidence)));
+            }
+            Action::FetchMoves(to) => {
+                let states: Vec<MoveStateWire> = self.nodes[self.node_at(to)].states();
+                self.queue.push((later + DELAY, from, Event::States(states)));
+            }
+            Action::ReadOutcome(id) => {
+                let row = match now < self.table.down_until {
+                    true => Err("down".to_string()),
+                    false => Ok(self.table.row.clone()),
+                };
+                self.queue.push((later, from, Event::OutcomeRead(id, row)));
+            }
+            Action::WriteOutcome(id, outcome) => {
+                let written = self.table.write(now, outcome);
+                self.queue.push((later, from, Event::OutcomeWritten(id, written)));
+            }
+            Action::Report { report, .. } => {
+                self.reports += 1;
+                self.queue.push((later, from, Event::Reported(report.id, Ok(()))));
+            }
+            Action::Publish { views, .. } => {
+                self.views[from] = views.values().next().copied().unwrap_or_default();
+            }
+            Action::Log(..) => {}
+        }
+    }
+
+    /// Runs one step of time; `calls` gives each node's calls as (count, is_new, fails).
+    fn step(&mut self) {
+        for node in 0..self.nodes.len() {
+            self.queue.push((self.now, node, Event::Tick));
+        }
+        let end = self.now + STEP;
+        while self.now < end {
+            while let Some(i) = self.queue.iter().position(|(at, ..)| *at <= self.now) {
+                let (_, node, event) = self.queue.remove(i);
+                let unix_now = UnixMillis(BEGIN + self.now);
+                for action in self.nodes[node].step(Millis(self.now), unix_now, event) {
+                    self.perform(node, action);
+                }
+            }
+            self.now += DELAY;
+        }
+    }
+
+    /// One call through `node`; returns whether it went to the new version.
+    fn call(&mut self, node: usize, failing: f64) -> bool {
+        let is_new = self.rng.random::<f64>() < self.views[node].share;
+        let mut counts = TrafficCounts::default();
+        let version = name(if is_new { "v2" } else { "v1" });
+        let of = counts.of(&name("search"), Some(&version));
+        of.calls = 1;
+        of.failures = u64::from(is_new && self.rng.random::<f64>() < failing);
+        of.latency.record(20_000);
+        self.queue.push((self.now, node, Event::Counts(Arc::new(counts))));
+        is_new
+    }
+
+    fn reports_of(&self, node: usize) -> MoveReport {
+        let unix_now = UnixMillis(BEGIN + self.now);
+        self.nodes[node].report(Millis(self.now), unix_now).remove(0)
+    }
+
+    fn phases(&self) -> BTreeMap<usize, Phase> {
+        (0..self.nodes.len()).map(|i| (i, self.reports_of(i).phase)).collect()
+    }
+
+    /// What pings with differing hashes do: every node fetches the states of another one.
+    fn repair(&mut self) {
+        for node in 0..self.nodes.len() {
+            let peer = addr((node + 1) % self.nodes.len());
+            self.queue.push((self.now, node, Event::PeerDiffers(peer)));
+        }
+        self.step();
+    }
+
+    fn run_until(&mut self, end: u64, calls_per_step: usize, failing: f64) {
+        while self.now < end {
+            for _ in 0..calls_per_step {
+                let node = self.rng.random_range(0..self.nodes.len());
+                self.call(node, failing);
+            }
+            self.step();
+        }
+    }
+}
+
+fn assert_all(fleet: &Fleet, phase: Phase, seed: u64) {
+    let phases = fleet.phases();
+    assert!(phases.values().all(|p| *p == phase), "seed {seed}: not all {phase:?}: {phases:?}");
+}
+
+#[test]
+fn good_version_finishes_everywhere_and_is_reported() {
+    let mut fleet = Fleet::new(8, 1, Withdrawal::Cautious);
+    fleet.run_until(FINISH + 3_000, 6, 0.0);
+    assert_all(&fleet, Phase::Finished, 1);
+    assert!(fleet.views.iter().all(|v| v.share == 1.0), "{:?}", fleet.views);
+    assert!(fleet.reports >= 1, "the owner was not told");
+}
+
+#[test]
+fn bad_version_gets_no_call_a_second_after_its_fault_shows() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(30, seed, Withdrawal::Tolerant);
+        fleet.loss = 0.2;
+        let bad_from = START + 35_000;
+        fleet.run_until(bad_from, 10, 0.0);
+        let before = fleet.reports_of(0).stage;
+        assert!(before >= 4, "seed {seed}: stage {before}");
+        // The fault shows with the first failed call of the new version.
+        let mut shown = None;
+        let mut last = 0;
+        while fleet.now < bad_from + 5_000 {
+            for _ in 0..10 {
+                let node = fleet.rng.random_range(0..30);
+                if fleet.call(node, 1.0) {
+                    shown.get_or_insert(fleet.now);
+                    last = fleet.now;
+                }
+            }
+            fleet.step();
+        }
+        let shown = shown.expect("calls on the new version");
+        assert!(last - shown < 1_000, "seed {seed}: last call after {} ms", last - shown);
+        fleet.repair();
+        assert_all(&fleet, Phase::Withdrawn, seed);
+    }
+}
+
+#[test]
+fn fault_is_found_with_a_handful_of_calls() {
+    for withdrawal in [Withdrawal::Cautious, Withdrawal::Balanced, Withdrawal::Tolerant] {
+        let mut fleet = Fleet::new(4, 3, withdrawal);
+        fleet.run_until(START + 45_000, 0, 0.0);
+        // One call in two seconds: the last stage gives the new version nine of ten.
+        let mut calls = 0;
+        while fleet.reports_of(0).phase != Phase::Withdrawn {
+            assert!(fleet.now < FINISH, "{withdrawal:?}: not found with {calls} calls");
+            let node = fleet.rng.random_range(0..4);
+            calls += u32::from(fleet.call(node, 1.0));
+            let next = fleet.now + 2_000;
+            fleet.run_until(next, 0, 0.0);
+        }
+        assert!(calls <= 6, "{withdrawal:?}: {calls} calls on the new version");
+    }
+}
+
+#[test]
+fn service_without_traffic_finishes() {
+    let mut fleet = Fleet::new(4, 4, Withdrawal::Balanced);
+    fleet.run_until(FINISH + 3_000, 0, 0.0);
+    assert_all(&fleet, Phase::Finished, 4);
+}
+
+#[test]
+fn version_without_calls_is_withdrawn_for_lack_of_evidence() {
+    let mut fleet = Fleet::new(4, 5, Withdrawal::Balanced);
+    while fleet.now < FINISH + 3_000 {
+        for _ in 0..10 {
+            // No target takes the new version's share: the old one answers.
+            let node = fleet.rng.random_range(0..4);
+            fleet.views[node].share = 0.0;
+            fleet.call(node, 0.0);
+        }
+        fleet.step();
+    }
+    assert_all(&fleet, Phase::Withdrawn, 5);
+    assert_eq!(fleet.reports_of(0).reason, NOT_ENOUGH_EVIDENCE);
+}
+
+#[test]
+fn withdrawal_takes_effect_while_the_table_is_down() {
+    let mut fleet = Fleet::new(8, 6, Withdrawal::Balanced);
+    fleet.run_until(START + 20_000, 10, 0.0);
+    fleet.table.down_until = START + 40_000;
+    fleet.run_until(START + 25_000, 10, 1.0);
+    assert_all(&fleet, Phase::Withdrawn, 6);
+    assert!(fleet.table.row.is_none());
+    fleet.run_until(START + 50_000, 10, 1.0);
+    assert_eq!(fleet.table.row.as_ref().map(|r| r.outcome), Some(Ending::TakenBack));
+}
+
+#[test]
+fn lost_answers_do_not_change_the_outcome() {
+    let mut fleet = Fleet::new(4, 7, Withdrawal::Balanced);
+    fleet.table.lose_answers = 3;
+    fleet.run_until(FINISH + 10_000, 6, 0.0);
+    assert_all(&fleet, Phase::Finished, 7);
+    assert!(fleet.reports >= 1, "the owner was not told");
+}
+
+#[test]
+fn withdrawal_after_the_recorded_finish_leaves_one_result() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(6, seed, Withdrawal::Balanced);
+        fleet.run_until(FINISH, 4, 0.0);
+        // A node on the far side of a partition condemned the version while "finished" was written.
+        let withdrawn = MoveStateWire {
+            id: "m".into(),
+            stage: 5,
+            finished: false,
+            withdrawn: true,
+            reason: "failures".into(),
+        };
+        let node = fleet.rng.random_range(0..6);
+        let at = FINISH + fleet.rng.random_range(0..1_500);
+        fleet.queue.push((at, node, Event::States(vec![withdrawn])));
+        fleet.run_until(FINISH + 8_000, 4, 0.0);
+        fleet.repair();
+        let row = fleet.table.row.clone().expect("outcome");
+        let expected = match row.outcome {
+            Ending::Finished => Phase::Finished,
+            Ending::TakenBack => Phase::Withdrawn,
+        };
+        assert_all(&fleet, expected, seed);
+    }
+}
+
+#[test]
+fn restarted_fleet_does_not_repeat_a_withdrawn_move() {
+    let mut fleet = Fleet::new(4, 8, Withdrawal::Balanced);
+    fleet.run_until(START + 20_000, 10, 0.0);
+    fleet.run_until(START + 25_000, 10, 1.0);
+    assert_all(&fleet, Phase::Withdrawn, 8);
+    let mut restarted = Fleet::new(4, 9, Withdrawal::Balanced);
+    restarted.table.row = fleet.table.row.clone();
+    restarted.table.down_until = fleet.now + 5_000;
+    restarted.now = fleet.now;
+    for _ in 0..200 {
+        for _ in 0..10 {
+            let node = restarted.rng.random_range(0..4);
+            assert!(!restarted.call(node, 1.0), "a call went to the withdrawn version");
+        }
+        restarted.step();
+    }
+    assert_all(&restarted, Phase::Withdrawn, 8);
+}
+
+#[test]
+fn node_stops_its_own_share_at_once_and_resumes() {
+    let mut fleet = Fleet::new(4, 10, Withdrawal::Balanced);
+    fleet.run_until(START + 30_000, 10, 0.0);
+    assert!(fleet.views[1].share > 0.0);
+    fleet.queue.push((fleet.now, 1, Event::FailureRun(name("m"))));
+    fleet.step();
+    assert_eq!(fleet.views[1].share, 0.0);
+    assert!(fleet.views[2].share > 0.0, "one node's run condemned a working version");
+    let end = fleet.now + 6_000;
+    fleet.run_until(end, 10, 0.0);
+    assert!(fleet.views[1].share > 0.0, "the node did not resume");
+}
--- /dev/null
+++ b/crates/ibisroute/tests/move_lattice.rs
@@ -0,0 +1,158 @@
+//! Guards against move states that depend on the order, the repetition or the loss of messages, and
+//! against a withdrawal that is undone.
+
+use std::collections::BTreeMap;
+
+use ibisroute::moves::evidence::Counters;
+use ibisroute::moves::evidence::Evidence;
+use ibisroute::moves::evidence::NodeEvidence;
+use ibisroute::moves::state::MoveState;
+use ibisroute::moves::state::Phase;
+use ibisroute::moves::state::hash_states;
+use ibisroute::telemetry::OutcomeCounts;
+use ibisroute::types::MoveId;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+#[derive(Clone, Debug, PartialEq)]
+struct State(MoveState);
+
+impl Arbitrary for State {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self(MoveState {
+            stage: u8::arbitrary(g) % 6,
+            finished: u8::arbitrary(g).is_multiple_of(4),
+            withdrawn: u8::arbitrary(g).is_multiple_of(3),
+            reason: (*g.choose(&["", "failures", "slow calls"]).expect("not empty")).into(),
+        })
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Report(NodeEvidence);
+
+impl Arbitrary for Report {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let mut counters = Counters::new();
+        for _ in 0..u8::arbitrary(g) % 4 {
+            let entry = (*g.choose(&["a", "b"]).expect("not empty")).parse().expect("name");
+            let version = (*g.choose(&["v1", "v2"]).expect("not empty")).parse().expect("name");
+            let calls = u64::from(u8::arbitrary(g));
+            let mut counts =
+                OutcomeCounts { calls, failures: calls / 3, ..OutcomeCounts::default() };
+            counts.latency.record(u64::from(u16::arbitrary(g)));
+            counters.insert((entry, version), counts);
+        }
+        let node = (*g.choose(&["n1", "n2"]).expect("not empty")).parse().expect("name");
+        let incarnation = u64::arbitrary(g) % 2;
+        let failure_runs = u64::arbitrary(g) % 3;
+        Self(NodeEvidence { node, incarnation, counters, failure_runs })
+    }
+}
+
+fn merged(a: &State, b: &State) -> State {
+    let mut state = a.clone();
+    state.0.merge(&b.0);
+    state
+}
+
+fn gathered(reports: &[Report]) -> Evidence {
+    let mut evidence = Evidence::default();
+    reports.iter().for_each(|r| {
+        evidence.merge(&r.0);
+    });
+    evidence
+}
+
+#[test]
+fn states_form_a_semilattice() {
+    fn property(a: State, b: State, c: State) -> bool {
+        merged(&a, &a) == a
+            && merged(&a, &b) == merged(&b, &a)
+            && merged(&merged(&a, &b), &c) == merged(&a, &merged(&b, &c))
+    }
+    QuickCheck::new().tests(2_000).quickcheck(property as fn(State, State, State) -> bool);
+}
+
+#[test]
+fn withdrawal_is_never_undone() {
+    fn property(states: Vec<State>, later: Vec<State>) -> bool {
+        let mut state = MoveState { withdrawn: true, ..MoveState::default() };
+        states.iter().chain(&later).all(|s| {
+            state.merge(&s.0);
+            // Only the recorded outcome overrides a withdrawal, and for good.
+            state.withdrawn
+                && state.phase() == if state.finished { Phase::Finished } else { Phase::Withdrawn }
+        })
+    }
+    QuickCheck::new().tests(2_000).quickcheck(property as fn(Vec<State>, Vec<State>) -> bool);
+}
+
+#[test]
+fn nodes_agree_after_any_order_and_repetition() {
+    fn property(states: Vec<State>, order: Vec<usize>) -> bool {
+        let mut straight = MoveState::default();
+        states.iter().for_each(|s| {
+            straight.merge(&s.0);
+        });
+        let mut shuffled = MoveState::default();
+        for i in order.iter().filter(|_| !states.is_empty()) {
+            shuffled.merge(&states[i % states.len()].0);
+        }
+        states.iter().rev().for_each(|s| {
+            shuffled.merge(&s.0);
+        });
+        straight == shuffled && straight.phase() == shuffled.phase()
+    }
+    QuickCheck::new().tests(2_000).quickcheck(property as fn(Vec<State>, Vec<usize>) -> bool);
+}
+
+#[test]
+fn wire_conversion_keeps_states() {
+    fn property(state: State) -> bool {
+        let id: MoveId = "m".parse().expect("name");
+        let back = <(MoveId, MoveState)>::try_from(state.0.to_wire(&id));
+        back == Ok((id, state.0))
+    }
+    QuickCheck::new().quickcheck(property as fn(State) -> bool);
+}
+
+#[test]
+fn hash_tells_states_apart() {
+    fn property(a: State, b: State) -> bool {
+        let id: MoveId = "m".parse().expect("name");
+        let hash = |s: &State| hash_states(BTreeMap::from([(id.clone(), s.0.clone())]).iter());
+        (a == b) == (hash(&a) == hash(&b))
+    }
+    QuickCheck::new().tests(2_000).quickcheck(property as fn(State, State) -> bool);
+}
+
+#[test]
+fn evidence_is_independent_of_order_and_repetition() {
+    fn property(reports: Vec<Report>) -> bool {
+        let straight = gathered(&reports);
+        let mut reversed = gathered(&reports.iter().rev().cloned().collect::<Vec<_>>());
+        let repeated = reversed.clone();
+        reports.iter().for_each(|r| {
+            reversed.merge(&r.0);
+        });
+        straight == reversed && reversed == repeated && straight.totals() == repeated.totals()
+    }
+    QuickCheck::new().tests(500).quickcheck(property as fn(Vec<Report>) -> bool);
+}
+
+#[test]
+fn differences_add_up_to_the_totals() {
+    fn property(reports: Vec<Report>) -> bool {
+        let mut evidence = Evidence::default();
+        let mut sum = Counters::new();
+        for report in &reports {
+            for (key, counts) in evidence.merge(&report.0).counters {
+                sum.entry(key).or_default().add(&counts);
+            }
+        }
+        sum == evidence.totals()
+    }
+    QuickCheck::new().tests(500).quickcheck(property as fn(Vec<Report>) -> bool);
+}
--- /dev/null
+++ b/crates/ibisroute/tests/move_verdicts.rs
@@ -0,0 +1,396 @@
+//! Guards against verdicts that finish a bad version or withdraw a good one: one evaluator judges
+//! seeded traffic with each kind of fault. The bounds are the promises of the design page.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ibisroute::catalogue::model::Catalogue;
+use ibisroute::catalogue::model::Class;
+use ibisroute::catalogue::model::Entry;
+use ibisroute::catalogue::model::Limits;
+use ibisroute::catalogue::model::Move;
+use ibisroute::catalogue::model::Objective;
+use ibisroute::catalogue::model::Service;
+use ibisroute::catalogue::model::Withdrawal;
+use ibisroute::membership::record::Addresses;
+use ibisroute::membership::record::MemberRecord;
+use ibisroute::membership::record::MemberView;
+use ibisroute::membership::record::Status;
+use ibisroute::membership::record::TargetRecord;
+use ibisroute::membership::record::TargetState;
+use ibisroute::moves::evaluator::Action;
+use ibisroute::moves::evaluator::Evaluator;
+use ibisroute::moves::evaluator::Event;
+use ibisroute::moves::move_settings::MoveSettings;
+use ibisroute::moves::outcome::Ending;
+use ibisroute::moves::outcome::RecordedOutcome;
+use ibisroute::snapshot::CompiledCatalogue;
+use ibisroute::telemetry::LATENCY_BUCKETS;
+use ibisroute::telemetry::LatencyHistogram;
+use ibisroute::telemetry::TrafficCounts;
+use ibisroute::types::ByteSize;
+use ibisroute::types::EntryName;
+use ibisroute::types::Head;
+use ibisroute::types::Millis;
+use ibisroute::types::NodeId;
+use ibisroute::types::Percent;
+use ibisroute::types::RatePerSecond;
+use ibisroute::types::UnixMillis;
+use ibisroute::types::VersionName;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// Runs of each kind of version and setting.
+const RUNS: u64 = 1_000;
+
+/// Wall-clock start of the move.
+const START: u64 = 1_000_000;
+
+/// Time the move has.
+const DURATION: u64 = 60_000;
+
+/// Time with traffic before the move starts.
+const BEFORE: u64 = 5_000;
+
+/// Time that one report covers.
+const STEP: u64 = 1_000;
+
+/// Base latencies of the entries, in microseconds, and the cumulative parts of the traffic. One call
+/// in twenty is on the last entry, so that its faults are hidden among the others.
+const ENTRIES: [(&str, f64, f64); 3] =
+    [("search", 20_000.0, 0.55), ("detail", 40_000.0, 0.95), ("order", 80_000.0, 1.0)];
+
+/// Share of calls that fail on a working version.
+const USUAL_FAILURES: f64 = 0.002;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Kind {
+    Good,
+    ColdStartGood,
+    OverloadGood,
+    FailsAtOnce,
+    SlowAtOnce,
+    FailsLater,
+    SlowLater,
+    FailsUnderLoad,
+    SlowUnderLoad,
+    FailsOnOneEntry,
+    SlowOnRareEntry,
+}
+
+/// How calls of one run behave.
+struct Model {
+    kind: Kind,
+    calls_per_step: f64,
+    /// Share of calls that fail, or factor on the latency, once the fault shows.
+    size: f64,
+    /// When the fault or the overload begins, from the start of the move.
+    at: u64,
+    entry: usize,
+    new_calls: u64,
+}
+
+impl Model {
+    fn new(kind: Kind, rng: &mut SmallRng) -> Self {
+        let size = match kind {
+            Kind::FailsAtOnce | Kind::FailsLater | Kind::FailsUnderLoad => {
+                rng.random_range(0.1..1.0)
+            }
+            Kind::FailsOnOneEntry => rng.random_range(0.2..1.0),
+            Kind::OverloadGood => rng.random_range(2.0..6.0),
+            _ => rng.random_range(3.0..10.0),
+        };
+        // A fault shows at least five seconds before the end, so that it can be observed.
+        let at = rng.random_range(5_000..DURATION - 5_000);
+        let rate = rng.random_range(60.0..160.0);
+        Self {
+            kind,
+            calls_per_step: rate * STEP as f64 / 1000.0,
+            size,
+            at,
+            entry: rng.random_range(0..ENTRIES.len()),
+            new_calls: 0,
+        }
+    }
+
+    /// Share of failures and factor on the latency of one call.
+    fn call(&mut self, is_new: bool, entry: usize, elapsed: u64, share: f64) -> (f64, f64) {
+        if is_new {
+            self.new_calls += 1;
+        }
+        let later = elapsed >= self.at;
+        let faulty = match self.kind {
+            Kind::Good => false,
+            Kind::ColdStartGood => return (USUAL_FAILURES, self.cold(is_new)),
+            Kind::OverloadGood => {
+                let overloaded = later && elapsed < self.at + 15_000;
+                return if overloaded { (0.15, self.size) } else { (USUAL_FAILURES, 1.0) };
+            }
+            Kind::FailsAtOnce | Kind::SlowAtOnce => true,
+            Kind::FailsLater | Kind::SlowLater => later,
+            Kind::FailsUnderLoad | Kind::SlowUnderLoad => share >= 0.5,
+            Kind::FailsOnOneEntry => entry == self.entry,
+            Kind::SlowOnRareEntry => entry == ENTRIES.len() - 1,
+        };
+        if !is_new || !faulty {
+            return (USUAL_FAILURES, 1.0);
+        }
+        match self.kind {
+            Kind::FailsAtOnce | Kind::FailsLater | Kind::FailsUnderLoad | Kind::FailsOnOneEntry => {
+                (self.size, 1.0)
+            }
+            _ => (USUAL_FAILURES, self.size),
+        }
+    }
+
+    /// The first calls of a cold version are slow, 8 on each of 3 targets.
+    fn cold(&self, is_new: bool) -> f64 {
+        if is_new && self.new_calls <= 24 { self.size * 2.0 } else { 1.0 }
+    }
+}
+
+/// Calls of one entry and version in one step.
+#[derive(Clone, Copy)]
+struct Cell {
+    calls: u64,
+    failures: u64,
+    buckets: [u64; LATENCY_BUCKETS],
+}
+
+impl Default for Cell {
+    fn default() -> Self {
+        Self { calls: 0, failures: 0, buckets: [0; LATENCY_BUCKETS] }
+    }
+}
+
+fn collect(
+    cells: &[[Cell; 2]; ENTRIES.len()],
+    names: &[EntryName],
+    versions: &[VersionName; 2],
+) -> TrafficCounts {
+    let mut counts = TrafficCounts::default();
+    for (entry, cells) in names.iter().zip(cells) {
+        for (version, cell) in versions.iter().zip(cells).filter(|(_, cell)| cell.calls > 0) {
+            let of = counts.of(entry, Some(version));
+            of.calls = cell.calls;
+            of.failures = cell.failures;
+            let latency = LatencyHistogram::from_buckets(cell.buckets.to_vec());
+            of.latency = latency.expect("as many buckets as a histogram has");
+        }
+    }
+    counts
+}
+
+struct Run {
+    ending: Ending,
+    first_stage: (u64, u64),
+    after_withdrawal: u64,
+}
+
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(s: &str) -> T {
+    s.parse().expect("valid name")
+}
+
+fn catalogue(withdrawal: Withdrawal) -> Arc<CompiledCatalogue> {
+    let service = Service {
+        name: name("counter"),
+        owner: "desk".into(),
+        version: name("v1"),
+        report_url: None,
+        withdrawal,
+    };
+    let mut entries: Vec<Entry> = ENTRIES
+        .iter()
+        .map(|(entry, _, _)| Entry {
+            name: name(entry),
+            owner: "desk".into(),
+            class: Class::CounterQuery,
+            service: name("counter"),
+            path: format!("/{entry}").into(),
+            methods: vec!["GET".into()],
+            idempotency_header: None,
+            limits: Limits {
+                rate: RatePerSecond(2000.0),
+                concurrency: 64,
+                deadline: Millis(2000),
+                retry: Percent(10.0),
+                max_body: ByteSize(65536),
+            },
+            objective: Objective { success: Percent(99.9), latency: Millis(250) },
+        })
+        .collect();
+    entries.sort_by(|a, b| a.name.cmp(&b.name));
+    let declared = Move {
+        id: name("counter-v2"),
+        service: name("counter"),
+        from: name("v1"),
+        to: name("v2"),
+        start: UnixMillis(START),
+        finish_by: UnixMillis(START + DURATION),
+    };
+    let catalogue =
+        Catalogue { name: "test".into(), services: vec![service], entries, moves: vec![declared] };
+    Arc::new(CompiledCatalogue::new(Head::default(), catalogue, Arc::from(Vec::new())))
+}
+
+fn target(i: u32) -> TargetRecord {
+    TargetRecord {
+        service: name("counter"),
+        version: name("v2"),
+        instance: name(&format!("i{i}")),
+        slots: 10,
+        state: TargetState::Ready,
+    }
+}
+
+fn view() -> Arc<MemberView> {
+    let addr: SocketAddr = SocketAddr::from(([127, 0, 0, 1], 1));
+    let member = MemberRecord {
+        node: name("n1"),
+        incarnation: 1,
+        revision: 1,
+        status: Status::Alive,
+        data_centre: name("dc"),
+        region: name("region"),
+        addresses: Addresses { control: addr, peer: addr, caller: addr, admin: addr },
+        targets: (0..3).map(target).collect(),
+    };
+    Arc::new(MemberView { local: name("n1"), members: vec![member] })
+}
+
+/// The lowest `bits` of `random` as a fraction below 1; drops them from `random`. One random word
+/// serves several choices, which keeps the runs short in debug builds.
+fn fraction(random: &mut u64, bits: u32) -> f64 {
+    let part = *random & ((1 << bits) - 1);
+    *random >>= bits;
+    part as f64 / (1_u64 << bits) as f64
+}
+
+/// A factor on the latency that is 1 in the middle and about 1.6 at one standard deviation.
+fn spread(mut random: u64) -> f64 {
+    let sum = fraction(&mut random, 21) + fraction(&mut random, 21) + fraction(&mut random, 21);
+    (sum - 1.5).exp()
+}
+
+fn run(kind: Kind, config: &Arc<CompiledCatalogue>, seed: u64) -> Run {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut model = Model::new(kind, &mut rng);
+    let names: Vec<EntryName> = ENTRIES.iter().map(|(entry, _, _)| name(entry)).collect();
+    let versions: [VersionName; 2] = [name("v1"), name("v2")];
+    let bounds: Vec<f64> = (0..LATENCY_BUCKETS).map(LatencyHistogram::bound_micros).collect();
+    let node: NodeId = name("n1");
+    let mut evaluator = Evaluator::new(node, 1, MoveSettings::default(), seed);
+    let mut queue = vec![Event::Configuration(config.clone()), Event::Members(view())];
+    let (mut share, mut withdrawn, mut outcome) = (0.0, false, None);
+    let (mut first_stage, mut after_withdrawal) = ((0, 0), 0);
+    let mut now = 0;
+    while outcome.is_none() && now < BEFORE + DURATION + 10_000 {
+        let unix_now = UnixMillis(START - BEFORE + now);
+        while let Some(event) = queue.pop() {
+            for action in evaluator.step(Millis(now), unix_now, event) {
+                match action {
+                    Action::Publish { views, .. } => {
+                        let view = views.values().next().copied().unwrap_or_default();
+                        share = view.share;
+                        withdrawn = view.withdrawn;
+                    }
+                    Action::WriteOutcome(id, written) => {
+                        outcome = Some(written.clone());
+                        queue.push(Event::OutcomeWritten(id, Ok(written)));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        let mut cells = [[Cell::default(); 2]; ENTRIES.len()];
+        let elapsed = now.saturating_sub(BEFORE);
+        let jitter = rng.random_range(0.8..1.2);
+        for _ in 0..(model.calls_per_step * jitter) as u64 {
+            let mut random: u64 = rng.random();
+            let pick = fraction(&mut random, 16);
+            let entry = ENTRIES.iter().position(|(.., part)| pick < *part).unwrap_or(2);
+            let is_new = fraction(&mut random, 24) < share;
+            let (failing, factor) = model.call(is_new, entry, elapsed, share);
+            let cell = &mut cells[entry][usize::from(is_new)];
+            cell.calls += 1;
+            cell.failures += u64::from(fraction(&mut random, 24) < failing);
+            let micros = ENTRIES[entry].1 * factor * spread(rng.random());
+            cell.buckets[bounds.partition_point(|b| *b < micros).min(LATENCY_BUCKETS - 1)] += 1;
+            if share > 0.0 && share <= 0.01 {
+                first_stage.0 += u64::from(is_new);
+                first_stage.1 += 1;
+            }
+            after_withdrawal += u64::from(is_new && withdrawn);
+        }
+        now += STEP;
+        queue.push(Event::Counts(Arc::new(collect(&cells, &names, &versions))));
+    }
+    let ending = outcome
+        .map_or_else(|| panic!("{kind:?} seed {seed}: no outcome"), |o: RecordedOutcome| o.outcome);
+    Run { ending, first_stage, after_withdrawal }
+}
+
+/// Runs that ended so, of [`RUNS`]; checks what every run must keep.
+fn count(kind: Kind, withdrawal: Withdrawal, ending: Ending) -> u64 {
+    let config = catalogue(withdrawal);
+    let mut seeds = Vec::new();
+    let mut calls = BTreeMap::from([("new", 0), ("all", 0)]);
+    for seed in 0..RUNS {
+        let run = run(kind, &config, seed);
+        assert_eq!(run.after_withdrawal, 0, "{kind:?} seed {seed}: calls after the withdrawal");
+        calls.entry("new").and_modify(|n| *n += run.first_stage.0);
+        calls.entry("all").and_modify(|n| *n += run.first_stage.1);
+        if run.ending == ending {
+            seeds.push(seed);
+        }
+    }
+    let percent = 100.0 * calls["new"] as f64 / calls["all"].max(1) as f64;
+    println!(
+        "{kind:?} {withdrawal:?}: {} of {RUNS} {ending:?}; {percent:.2}% of the calls of the first \
+         stage on the new version; seeds {:?}",
+        seeds.len(),
+        &seeds[..seeds.len().min(10)],
+    );
+    assert!(percent <= 5.0, "{kind:?}: {percent}% of the calls in the first stage");
+    seeds.len() as u64
+}
+
+macro_rules! verdicts {
+    ($($name:ident: $kind:ident ends $ending:ident at most $cautious:literal, $tolerant:literal;)*) => {
+        $(mod $name {
+            use super::Ending;
+            use super::Kind;
+            use super::RUNS;
+            use super::Withdrawal;
+            use super::count;
+
+            #[test]
+            fn cautious() {
+                let wrong = count(Kind::$kind, Withdrawal::Cautious, Ending::$ending);
+                assert!(wrong <= $cautious, "{wrong} of {RUNS}");
+            }
+
+            #[test]
+            fn tolerant() {
+                let wrong = count(Kind::$kind, Withdrawal::Tolerant, Ending::$ending);
+                assert!(wrong <= $tolerant, "{wrong} of {RUNS}");
+            }
+        })*
+    };
+}
+
+verdicts! {
+    good: Good ends TakenBack at most 20, 10;
+    cold_start_good: ColdStartGood ends TakenBack at most 20, 10;
+    overload_good: OverloadGood ends TakenBack at most 20, 10;
+    fails_at_once: FailsAtOnce ends Finished at most 0, 0;
+    slow_at_once: SlowAtOnce ends Finished at most 10, 10;
+    fails_later: FailsLater ends Finished at most 0, 0;
+    slow_later: SlowLater ends Finished at most 10, 10;
+    fails_under_load: FailsUnderLoad ends Finished at most 0, 0;
+    slow_under_load: SlowUnderLoad ends Finished at most 10, 10;
+    fails_on_one_entry: FailsOnOneEntry ends Finished at most 0, 0;
+    slow_on_rare_entry: SlowOnRareEntry ends Finished at most 10, 10;
+}
