--- /dev/null
+++ b/crates/ibisroute/src/report/actor.rs
@@ -0,0 +1,102 @@
+//! Actor that keeps the burn of one node and emits an event when an alert begins or ends.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix::Actor;
+use actix::AsyncContext;
+use actix::Context;
+use actix::Handler;
+use actix::Message;
+use actix::MessageResult;
+
+use crate::events;
+use crate::events::report as codes;
+use crate::node::messages::ConfigurationApplied;
+use crate::node::messages::CountsCollected;
+use crate::report::burn::BurnMeter;
+use crate::report::burn::BurnReport;
+use crate::report::burn::SLOT;
+use crate::report::report_settings::ReportSettings;
+use crate::snapshot::CompiledCatalogue;
+use crate::types::EntryName;
+use crate::types::Millis;
+
+/// Asks for the burn of this node.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "BurnReport")]
+pub struct QueryBurn;
+
+/// Actor of the control thread.
+pub struct BurnActor {
+    started: Instant,
+    meter: BurnMeter,
+    config: Option<Arc<CompiledCatalogue>>,
+    alerts: BTreeSet<EntryName>,
+}
+
+impl BurnActor {
+    /// An actor without counts.
+    pub fn new(settings: ReportSettings) -> Self {
+        Self {
+            started: Instant::now(),
+            meter: BurnMeter::new(settings),
+            config: None,
+            alerts: BTreeSet::new(),
+        }
+    }
+
+    fn report(&mut self) -> BurnReport {
+        let Some(config) = &self.config else { return BurnReport::default() };
+        self.meter.report(Millis::from(self.started.elapsed()), config)
+    }
+
+    fn check_alerts(&mut self) {
+        let burning = self.report().entries.into_iter().filter(|burn| burn.alert);
+        let alerts: BTreeSet<EntryName> = burning.map(|burn| burn.entry).collect();
+        for entry in alerts.difference(&self.alerts) {
+            events::emit(&codes::BURN_ALERT, format_args!("entry {entry}"));
+        }
+        for entry in self.alerts.difference(&alerts) {
+            events::emit(&codes::BURN_ENDED, format_args!("entry {entry}"));
+        }
+        self.alerts = alerts;
+    }
+}
+
+impl Actor for BurnActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Context<Self>) {
+        let interval: Duration = SLOT.to_duration();
+        ctx.run_interval(interval, |actor, _| actor.check_alerts());
+    }
+}
+
+impl Handler<ConfigurationApplied> for BurnActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: ConfigurationApplied, _: &mut Context<Self>) {
+        self.meter.retain(&msg.0);
+        self.config = Some(msg.0);
+    }
+}
+
+impl Handler<CountsCollected> for BurnActor {
+    type Result = ();
+
+    fn handle(&mut self, msg: CountsCollected, _: &mut Context<Self>) {
+        let Some(config) = &self.config else { return };
+        self.meter.add(Millis::from(self.started.elapsed()), &msg.0, config);
+    }
+}
+
+impl Handler<QueryBurn> for BurnActor {
+    type Result = MessageResult<QueryBurn>;
+
+    fn handle(&mut self, _: QueryBurn, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(self.report())
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/src/report/render.rs
@@ -0,0 +1,54 @@
+//! The burn report as a table and as JSON.
+
+use std::fmt::Write;
+
+use crate::report::burn::BurnReport;
+use crate::report::burn::EntryBurn;
+
+const HEADINGS: [&str; 12] = [
+    "ENTRY", "CALLS", "FAILED", "REFUSED", "SLOW", "LEFT", "5M", "1H", "30M", "6H", "P99 MS",
+    "ALERT",
+];
+
+/// The report as JSON, as `GET /report/burn` sends it.
+pub fn json(report: &BurnReport) -> serde_json::Value {
+    serde_json::json!(report)
+}
+
+/// The report as a table with a heading, one line for each entry.
+pub fn table(report: &BurnReport) -> String {
+    let mut rows = vec![HEADINGS.map(String::from)];
+    rows.extend(report.entries.iter().map(row));
+    let widths: Vec<usize> = (0..HEADINGS.len())
+        .map(|i| rows.iter().map(|row| row[i].len()).max().unwrap_or_default())
+        .collect();
+    let mut text = String::new();
+    for row in rows {
+        let mut line = format!("{:<width$}", row[0], width = widths[0]);
+        for (cell, width) in row.iter().zip(&widths).skip(1) {
+            // Writing to a String cannot fail.
+            let _ = write!(line, "  {cell:>width$}");
+        }
+        text.push_str(line.trim_end());
+        text.push('\n');
+    }
+    text
+}
+
+fn row(burn: &EntryBurn) -> [String; 12] {
+    let rate = |burn: f64| format!("{burn:.1}");
+    [
+        burn.entry.to_string(),
+        burn.calls.to_string(),
+        burn.failures.to_string(),
+        burn.refused.to_string(),
+        burn.slow.to_string(),
+        format!("{:.1}%", burn.budget_left_percent),
+        rate(burn.burn_5m),
+        rate(burn.burn_1h),
+        rate(burn.burn_30m),
+        rate(burn.burn_6h),
+        burn.p99_ms.map_or_else(|| "-".to_string(), |ms| format!("{ms:.1}")),
+        if burn.alert { "yes".to_string() } else { "-".to_string() },
+    ]
+}
