--- a/crates/ibisroute/src/moves/evaluator.rs
+++ b/crates/ibisroute/src/moves/evaluator.rs
@@ -50,7 +50,7 @@
 const KEEP_UNDECLARED: Millis = Millis(600_000);
 
 /// Longest delay of "finished" by an open suspicion that the old version's calls speak against.
-const SUSPICION_WAIT: Millis = Millis(2_000);
+const SUSPICION_WAIT: Millis = Millis(4_000);
 
 /// States in one datagram: with the longest ids and reasons they stay below its limit.
 const STATES_PER_NOTICE: usize = 4;
--- a/crates/ibisroute/src/moves/verdict.rs
+++ b/crates/ibisroute/src/moves/verdict.rs
@@ -42,13 +42,11 @@
 /// Longest wait for calls of the old version when fewer calls are bad.
 const WAIT_SLIGHT_MS: u64 = 3_000;
 
-/// Log-likelihood ratio at which the old version counts as clearly better. The ratio is a
-/// martingale when the same cause hits both versions, so that looking at it again and again exceeds
-/// this with a chance of at most 0.5%.
-const CLEAR: f64 = 5.3;
+/// Bound of a score, as a multiple of the threshold.
+const SCORE_CAP: f64 = 1.25;
 
 /// Log-likelihood ratio that decides an open suspicion at the end of the move.
-const LEANING: f64 = 0.5;
+const LEANING: f64 = 2.5;
 
 /// Share of the new version's bad calls that the old version must clearly stay below. A cause that
 /// hits both does not hit them equally.
@@ -125,6 +123,19 @@
     new: Tally,
 }
 
+/// The versions in the same window.
+#[derive(Clone, Copy, Debug)]
+struct Comparison {
+    /// The new version's share of bad calls.
+    share: f64,
+    /// Log-likelihood ratio of the old version's calls that decide: as usual, over as bad.
+    decisive: f64,
+    /// The same over all entries.
+    all: f64,
+    /// Whether the old version's calls are too few to say anything.
+    silent: bool,
+}
+
 /// Cumulative sum of log-likelihood ratios, reset at zero.
 #[derive(Clone, Copy, Debug, Default)]
 struct Score {
@@ -235,7 +246,7 @@
                 score.rise_at = now;
             }
             // The upper bound lets the score fall again soon after a cause that hit both versions.
-            score.value = (score.value + gain).clamp(0.0, 2.0 * thresholds.score);
+            score.value = (score.value + gain).clamp(0.0, SCORE_CAP * thresholds.score);
             match (score.value >= thresholds.score, score.crossed_at) {
                 (true, None) => score.crossed_at = Some(now),
                 (false, Some(_)) => score.crossed_at = None,
@@ -254,19 +265,18 @@
         calls > RECENT_CALLS && calls as f64 > OVERLOAD * self.peak_old_calls as f64
     }
 
-    /// Whether the old version did clearly better since `rise`; `None` while that is open.
+    /// Compares the versions since a score rose.
     ///
     /// The calls of the old version on all entries (`all`) take part when this entry has few: a
-    /// cause that hits both versions shows there as well, and a fault on one entry does not.
-    fn confirm(
+    /// cause that hits both versions shows there as well, and a fault on one entry does not. `None`
+    /// when the new version shows no fault, or others show it better.
+    fn compare(
         &self,
-        now: Millis,
         fault: Fault,
         rise: Millis,
         crossed: Millis,
         all: Option<&Watch>,
-        clear_at: f64,
-    ) -> Option<f64> {
+    ) -> Option<Comparison> {
         // While the share changes, the versions get their calls at different times. A cause that
         // comes and goes would then hit them unequally, so that only the present stage compares.
         let from = rise.max(self.stage_at).max(Millis(crossed.0.saturating_sub(LOOK_BACK_MS)));
@@ -275,32 +285,47 @@
         if new_bad == 0 {
             return None;
         }
-        let (old_calls, old_bad) = match all {
-            Some(all) if old.of(fault).0 < all.window(from).0.of(fault).0 / 2 => {
-                all.window(from).0.of(fault)
-            }
-            _ => old.of(fault),
-        };
+        let (own_calls, own_bad) = old.of(fault);
+        let (all_old, all_new) = all.map_or((old, new), |all| all.window(from));
+        let (all_calls, all_bad) = all_old.of(fault);
+        // Entries differ in how a common cause shows. With few calls of its own, an entry counts as
+        // the only faulty one when it has half of all bad calls; otherwise the others decide.
+        if own_calls < RECENT_CALLS && 2 * new_bad < all_new.of(fault).1 {
+            return None;
+        }
         let share = new_bad as f64 / new_calls as f64;
         let common = BETTER * new_bad as f64 / (new_calls + 1) as f64;
         let usual = self.usual_share(fault).min(common / 2.0);
-        let clear = old_bad as f64 * (usual / common).ln()
-            + (old_calls - old_bad) as f64 * ((1.0 - usual) / (1.0 - common)).ln();
-        if clear >= clear_at {
-            return Some(share);
-        }
-        let wait = if share >= GROSS { WAIT_GROSS_MS } else { WAIT_SLIGHT_MS };
-        let silent = old_bad == 0 && old_calls as f64 * common < FEW_EXPECTED;
-        (silent && now.since(crossed).0 >= wait).then_some(share)
+        let clear = |calls: u64, bad: u64| {
+            bad as f64 * (usual / common).ln()
+                + (calls - bad) as f64 * ((1.0 - usual) / (1.0 - common)).ln()
+        };
+        let (own, all) = (clear(own_calls, own_bad), clear(all_calls, all_bad));
+        let decisive = if own_calls < RECENT_CALLS { all } else { own };
+        let silent = all_bad == 0 && all_calls as f64 * common < FEW_EXPECTED;
+        Some(Comparison { share, decisive, all, silent })
+    }
+
+    /// The share of bad calls when the old version did clearly better, or said nothing for too long.
+    fn confirm(
+        &self,
+        now: Millis,
+        crossed: Millis,
+        found: &Comparison,
+        clear_at: f64,
+    ) -> Option<f64> {
+        let wait = if found.share >= GROSS { WAIT_GROSS_MS } else { WAIT_SLIGHT_MS };
+        let waited = found.silent && now.since(crossed).0 >= wait;
+        let clear = found.decisive >= clear_at && found.all >= 0.0;
+        (clear || waited).then_some(found.share)
     }
 
     fn verdict(&self, now: Millis, all: Option<&Watch>, clear_at: f64) -> Option<(Fault, f64)> {
         for (score, fault) in self.scores.iter().zip(FAULTS) {
             let Some(crossed) = score.crossed_at else { continue };
-            let Some(share) = self.confirm(now, fault, score.rise_at, crossed, all, clear_at)
-            else {
-                continue;
-            };
+            let found = self.compare(fault, score.rise_at, crossed, all);
+            let share = found.and_then(|found| self.confirm(now, crossed, &found, clear_at));
+            let Some(share) = share else { continue };
             let gross = fault == Fault::Failures && share >= OVERLOAD_SHARE;
             if !gross && self.is_overloaded(now) {
                 continue;
@@ -308,7 +333,8 @@
             return Some((fault, share));
         }
         let crossed = self.run_crossed_at?;
-        let share = self.confirm(now, Fault::Failures, self.run_at, crossed, all, clear_at)?;
+        let found = self.compare(Fault::Failures, self.run_at, crossed, all)?;
+        let share = self.confirm(now, crossed, &found, clear_at)?;
         let usual = self.expected_share(now, Fault::Failures);
         (share >= 0.5 && usual < 0.25).then_some((Fault::Failures, share))
     }
@@ -437,20 +463,21 @@
         self.entries.values_mut().chain([&mut self.together]).for_each(|w| w.stage_at = now);
     }
 
-    /// Whether a suspicion is open.
+    /// Whether a suspicion is open that the old version's calls do not speak against.
     pub fn is_suspicious(&self) -> bool {
-        self.entries.values().chain([&self.together]).any(Watch::is_suspicious)
+        self.entries.values().any(|w| w.is_suspicious(Some(&self.together)))
+            || self.together.is_suspicious(None)
     }
 
-    /// The open suspicion that the calls of the old version speak for rather than against. Asked at
-    /// the end of the move, when there is no time left for more of them.
+    /// The open suspicion that the calls of the old version speak for rather than against, when the
+    /// new version still shows it. Asked at the end of the move, when no time is left for more calls.
     pub fn leaning(&self, now: Millis) -> Option<Condemned> {
         for (entry, watch) in &self.entries {
-            if let Some((fault, share)) = watch.verdict(now, Some(&self.together), LEANING) {
+            if let Some((fault, share)) = watch.leaning(now, Some(&self.together)) {
                 return Some(Condemned { entry: Some(entry.clone()), fault, share });
             }
         }
-        let (fault, share) = self.together.verdict(now, None, LEANING)?;
+        let (fault, share) = self.together.leaning(now, None)?;
         Some(Condemned { entry: None, fault, share })
     }
 
@@ -458,19 +485,33 @@
     pub fn judge(&mut self, now: Millis, thresholds: &Thresholds) -> Option<Condemned> {
         for (entry, watch) in &mut self.entries {
             watch.advance(now, thresholds, false);
-            if let Some((fault, share)) = watch.verdict(now, Some(&self.together), CLEAR) {
+            if let Some((fault, share)) = watch.verdict(now, Some(&self.together), thresholds.clear)
+            {
                 return Some(Condemned { entry: Some(entry.clone()), fault, share });
             }
         }
         self.together.advance(now, thresholds, true);
-        let (fault, share) = self.together.verdict(now, None, CLEAR)?;
+        let (fault, share) = self.together.verdict(now, None, thresholds.clear)?;
         Some(Condemned { entry: None, fault, share })
     }
 }
 
 impl Watch {
-    fn is_suspicious(&self) -> bool {
-        self.run_crossed_at.is_some() || self.scores.iter().any(|s| s.crossed_at.is_some())
+    fn leaning(&self, now: Millis, all: Option<&Watch>) -> Option<(Fault, f64)> {
+        let (fault, share) = self.verdict(now, all, LEANING)?;
+        let (_, recent) = self.window(Millis(now.0.saturating_sub(RECENT_MS)));
+        let (calls, bad) = recent.of(fault);
+        (bad as f64 >= share / 2.0 * calls as f64).then_some((fault, share))
+    }
+
+    /// Whether a suspicion is open that the old version's calls do not speak against.
+    fn is_suspicious(&self, all: Option<&Watch>) -> bool {
+        let scores = self.scores.iter().zip(FAULTS);
+        let scores = scores.filter_map(|(s, f)| s.crossed_at.map(|at| (f, s.rise_at, at)));
+        let run = self.run_crossed_at.map(|at| (Fault::Failures, self.run_at, at));
+        scores.chain(run).any(|(fault, rise, crossed)| {
+            self.compare(fault, rise, crossed, all).is_some_and(|found| found.all >= 0.0)
+        })
     }
 }
 
--- a/crates/ibisroute/src/report/burn.rs
+++ b/crates/ibisroute/src/report/burn.rs
@@ -139,7 +139,8 @@
         }
         self.expire(at);
         let narrow = |n: u64| u32::try_from(n).unwrap_or(u32::MAX);
-        // A failed call is in the histogram as well; it counts once.
+        // The histogram has failed calls as well, and does not tell which slow call failed. As many
+        // as possible are taken as both, so that no call counts twice.
         let slow = counts.latency.slower_than(objective).saturating_sub(counts.failures);
         if let Some(slot) = self.slots.back_mut() {
             slot.calls = slot.calls.saturating_add(narrow(counts.calls));
--- a/crates/ibisroute/tests/move_verdicts.rs
+++ b/crates/ibisroute/tests/move_verdicts.rs
@@ -57,9 +57,10 @@
 /// Time that one report covers.
 const STEP: u64 = 1_000;
 
-/// Base latencies of the entries, in microseconds, and their parts of the traffic.
+/// Base latencies of the entries, in microseconds, and the cumulative parts of the traffic. One call
+/// in twenty is on the last entry, so that its faults are hidden among the others.
 const ENTRIES: [(&str, f64, f64); 3] =
-    [("search", 20_000.0, 0.5), ("detail", 40_000.0, 0.3), ("order", 80_000.0, 0.2)];
+    [("search", 20_000.0, 0.55), ("detail", 40_000.0, 0.95), ("order", 80_000.0, 1.0)];
 
 /// Share of calls that fail on a working version.
 const USUAL_FAILURES: f64 = 0.002;
@@ -76,6 +77,7 @@
     FailsUnderLoad,
     SlowUnderLoad,
     FailsOnOneEntry,
+    SlowOnRareEntry,
 }
 
 /// How calls of one run behave.
@@ -130,13 +132,16 @@
             Kind::FailsLater | Kind::SlowLater => later,
             Kind::FailsUnderLoad | Kind::SlowUnderLoad => share >= 0.5,
             Kind::FailsOnOneEntry => entry == self.entry,
+            Kind::SlowOnRareEntry => entry == ENTRIES.len() - 1,
         };
         if !is_new || !faulty {
             return (USUAL_FAILURES, 1.0);
         }
         match self.kind {
-            Kind::SlowAtOnce | Kind::SlowLater | Kind::SlowUnderLoad => (USUAL_FAILURES, self.size),
-            _ => (self.size, 1.0),
+            Kind::FailsAtOnce | Kind::FailsLater | Kind::FailsUnderLoad | Kind::FailsOnOneEntry => {
+                (self.size, 1.0)
+            }
+            _ => (USUAL_FAILURES, self.size),
         }
     }
 
@@ -305,7 +310,7 @@
         for _ in 0..(model.calls_per_step * jitter) as u64 {
             let mut random: u64 = rng.random();
             let pick = fraction(&mut random, 16);
-            let entry = if pick < 0.5 { 0 } else { 1 + usize::from(pick >= 0.8) };
+            let entry = ENTRIES.iter().position(|(.., part)| pick < *part).unwrap_or(2);
             let is_new = fraction(&mut random, 24) < share;
             let (failing, factor) = model.call(is_new, entry, elapsed, share);
             let cell = &mut cells[entry][usize::from(is_new)];
@@ -387,4 +392,5 @@
     fails_under_load: FailsUnderLoad ends Finished at most 0, 0;
     slow_under_load: SlowUnderLoad ends Finished at most 10, 10;
     fails_on_one_entry: FailsOnOneEntry ends Finished at most 0, 0;
+    slow_on_rare_entry: SlowOnRareEntry ends Finished at most 10, 10;
 }
