Greet restarted nodes with the oldest head

Cause: versions_never_fall passed with the floor check removed, as stale peers rarely reached a restarted node before the table did. Change: the peer with the oldest head greets each node that restarts.

--- a/crates/ibisroute/tests/config_versions.rs
+++ b/crates/ibisroute/tests/config_versions.rs
@@ -205,6 +205,7 @@
                     net.run(500);
                     (0..net.nodes.len()).for_each(|i| net.pause(i, false));
                     net.start(node);
+                    net.greet_with_oldest(node);
                 }
                 4 => net.platform.down = !net.platform.down,
                 5 => net.platform.latency_ms = [5, 300, 2_000][net.rng.random_range(0..3)],
--- a/crates/ibisroute/tests/support/config_net.rs
+++ b/crates/ibisroute/tests/support/config_net.rs
@@ -146,6 +146,15 @@
         self.paused[index] = paused;
     }
 
+    /// The running peer with the oldest head greets a node.
+    pub(crate) fn greet_with_oldest(&mut self, index: usize) {
+        let peers = (0..self.nodes.len()).filter(|i| *i != index);
+        let heads = peers.filter_map(|i| self.nodes[i].as_ref().map(|n| (n.advertised, i)));
+        if let Some((head, from)) = heads.min() {
+            self.event(index, Event::PeerHead { head, peer_addr: Some(peer(from)) });
+        }
+    }
+
     /// Publishes the next version; a bad one does not compile.
     pub(crate) fn publish(&mut self, good: bool) -> Head {
         let version = self.platform.head.unwrap_or_default().version.next();
