Count the burn by whole calls, in one model for node and ibisctl

Cause: the burn report counted attempts, so that a call that a retry saved counted as failed, and an unreachable target counted twice; ibisctl had its own burn model with another shape of the alert. Change: traffic threads count each call once, as its caller saw it; ibisctl merges with report::burn and prints its table; the alert is page or ticket. Conclusion: the report now follows the objective as callers feel it.

--- a/crates/ibisroute/src/ctl/mod.rs
+++ b/crates/ibisroute/src/ctl/mod.rs
@@ -5,7 +5,6 @@
 pub mod admin_client;
 pub mod admin_model;
 pub mod app;
-pub mod burn;
 pub mod commands;
 pub mod context;
 pub mod exit;
--- a/crates/ibisroute/src/report/actor.rs
+++ b/crates/ibisroute/src/report/actor.rs
@@ -54,7 +54,7 @@
     }
 
     fn check_alerts(&mut self) {
-        let burning = self.report().entries.into_iter().filter(|burn| burn.alert);
+        let burning = self.report().entries.into_iter().filter(|burn| burn.alert.is_some());
         let alerts: BTreeSet<EntryName> = burning.map(|burn| burn.entry).collect();
         for entry in alerts.difference(&self.alerts) {
             events::emit(&codes::BURN_ALERT, format_args!("entry {entry}"));
--- a/crates/ibisroute/src/report/burn.rs
+++ b/crates/ibisroute/src/report/burn.rs
@@ -58,6 +58,18 @@
     pub six_hours: Window,
 }
 
+/// Alert of a pair of burn rates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Alert {
+    /// Someone must act now: the budget of 30 days would last about two days.
+    #[display("page")]
+    Page,
+    /// Someone must act on a working day.
+    #[display("ticket")]
+    Ticket,
+}
+
 /// Burn of one entry. Counts cover the last six hours, latencies the last five minutes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -92,8 +104,8 @@
     pub p50_ms: Option<f64>,
     /// Latency of the slowest hundredth; `None` without calls.
     pub p99_ms: Option<f64>,
-    /// Whether a pair of windows exceeds its burn rate.
-    pub alert: bool,
+    /// The alert that a pair of windows raises.
+    pub alert: Option<Alert>,
     /// What the burn rates were computed from, so that reports of nodes can be merged.
     pub windows: Windows,
     /// Calls by latency bucket.
@@ -188,7 +200,7 @@
     /// Adds counts; those of entries that the catalogue lacks are ignored.
     pub fn add(&mut self, now: Millis, counts: &TrafficCounts, config: &CompiledCatalogue) {
         let at = now.0 / SLOT.0;
-        for ((name, _), counts) in &counts.outcomes {
+        for (name, counts) in &counts.calls {
             let Some(entry) = config.entry(name.as_str()) else { continue };
             if !self.rings.contains_key(name) && self.rings.len() >= self.settings.max_entries {
                 continue;
@@ -229,7 +241,7 @@
                 burn_6h: 0.0,
                 p50_ms: None,
                 p99_ms: None,
-                alert: false,
+                alert: None,
                 windows: Windows {
                     five_minutes: windows[0],
                     half_hour: windows[1],
@@ -288,8 +300,13 @@
     burn.burn_1h = rate(windows.hour);
     burn.burn_6h = rate(windows.six_hours);
     burn.budget_left_percent = 100.0 * (1.0 - burn.burn_6h);
-    burn.alert = (burn.burn_5m > settings.fast_burn && burn.burn_1h > settings.fast_burn)
-        || (burn.burn_30m > settings.slow_burn && burn.burn_6h > settings.slow_burn);
+    burn.alert = if burn.burn_5m > settings.fast_burn && burn.burn_1h > settings.fast_burn {
+        Some(Alert::Page)
+    } else if burn.burn_30m > settings.slow_burn && burn.burn_6h > settings.slow_burn {
+        Some(Alert::Ticket)
+    } else {
+        None
+    };
     let latency = LatencyHistogram::from_buckets(burn.latency_buckets.clone()).unwrap_or_default();
     burn.p50_ms = latency.quantile_micros(0.5).map(|micros| micros / 1000.0);
     burn.p99_ms = latency.quantile_micros(0.99).map(|micros| micros / 1000.0);
--- a/crates/ibisroute/src/report/render.rs
+++ b/crates/ibisroute/src/report/render.rs
@@ -49,6 +49,6 @@
         rate(burn.burn_30m),
         rate(burn.burn_6h),
         burn.p99_ms.map_or_else(|| "-".to_string(), |ms| format!("{ms:.1}")),
-        if burn.alert { "yes".to_string() } else { "-".to_string() },
+        burn.alert.map_or_else(|| "-".to_string(), |alert| alert.to_string()),
     ]
 }
--- a/crates/ibisroute/src/telemetry.rs
+++ b/crates/ibisroute/src/telemetry.rs
@@ -137,8 +137,11 @@
 /// What one traffic thread counted since its last report.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct TrafficCounts {
-    /// Counts by entry and target version. Calls refused before a version was chosen have none.
+    /// Attempts by entry and target version, for the evidence of moves.
     pub outcomes: BTreeMap<(EntryName, Option<VersionName>), OutcomeCounts>,
+    /// Whole calls by entry, as their callers saw them, for the burn report. A retried call counts
+    /// once, by its last attempt.
+    pub calls: BTreeMap<EntryName, OutcomeCounts>,
 }
 
 impl TrafficCounts {
@@ -152,5 +155,8 @@
         for (key, counts) in &other.outcomes {
             self.outcomes.entry(key.clone()).or_default().add(counts);
         }
+        for (entry, counts) in &other.calls {
+            self.calls.entry(entry.clone()).or_default().add(counts);
+        }
     }
 }
--- a/crates/ibisroute/src/traffic/ingress.rs
+++ b/crates/ibisroute/src/traffic/ingress.rs
@@ -49,6 +49,7 @@
 use super::stored_upload;
 use super::worker::Attempt;
 use super::worker::AttemptEnd;
+use super::worker::CallEnd;
 use super::worker::InFlightGuard;
 use super::worker::Shared;
 use super::worker::Worker;
@@ -159,26 +160,35 @@
         return Err(Refusal::not_run(StatusCode::NOT_FOUND, "unknown", reason));
     };
     metrics::counter!("ibis_calls_total", "entry" => entry.name.to_string()).increment(1);
-    let refused = |refusal: Refusal| {
-        worker.count_refused(&entry.name);
-        refusal
-    };
+    let began = Instant::now();
+    let result = serve_entry(worker, entry, req, payload, id).await;
+    let response = result.unwrap_or_else(|refusal| refusal.response(id, false));
+    worker.count_call(&entry.name, CallEnd::of(&response), began.elapsed());
+    Ok(response)
+}
+
+/// Serves a call of an entry.
+async fn serve_entry(
+    worker: &Rc<Worker>,
+    entry: &Entry,
+    req: &HttpRequest,
+    payload: Payload,
+    id: &RequestId,
+) -> Result<HttpResponse, Refusal> {
     let settings = &worker.shared.settings;
-    let deadline = request::deadline(req, entry).map_err(refused)?;
-    let depth = request::depth(req, settings.max_depth).map_err(refused)?;
+    let deadline = request::deadline(req, entry)?;
+    let depth = request::depth(req, settings.max_depth)?;
     let key = match &entry.idempotency_header {
-        Some(name) => Some(request::idempotency_key(req, name).map_err(refused)?),
+        Some(name) => Some(request::idempotency_key(req, name)?),
         None => None,
     };
-    let source = Source::read(req, payload, entry, settings.replay_body.0, deadline)
-        .await
-        .map_err(refused)?;
+    let source = Source::read(req, payload, entry, settings.replay_body.0, deadline).await?;
     let path = req.uri().path_and_query().map_or("/", |p| p.as_str());
     let claim = match key {
         None => None,
         Some(key) => {
             let request = (req.method().as_str(), path, &source);
-            match claim::claim(worker, entry, key, request, deadline).await.map_err(refused)? {
+            match claim::claim(worker, entry, key, request, deadline).await? {
                 Claimed::Granted(guard) => Some(guard),
                 Claimed::Recorded(answer) => return Ok(recorded_response(id, answer)),
             }
@@ -188,6 +198,21 @@
     Ok(call.run(claim).await)
 }
 
+impl CallEnd {
+    /// What the caller gets: mistakes of callers (4xx) are no failures, but a limit is a refusal.
+    fn of(response: &HttpResponse) -> Self {
+        let status = response.status();
+        if !status.is_server_error() && status != StatusCode::TOO_MANY_REQUESTS {
+            return Self::Answered;
+        }
+        let outcome = response.headers().get(headers::OUTCOME);
+        if outcome.is_some_and(|v| v.as_bytes() == b"not-run") {
+            return Self::Refused;
+        }
+        Self::Failed
+    }
+}
+
 /// What is known after an attempt.
 enum Attempted {
     Answer(Box<Answer>),
@@ -212,7 +237,6 @@
         let mut tried: Vec<InstanceId> = Vec::new();
         let mut ran = Ran::NotRun;
         let Some(mut attempt) = self.worker.choose(self.entry, self.id, &tried) else {
-            self.worker.count_refused(&self.entry.name);
             let reason = format!("no target of {} is ready", self.entry.service);
             let refusal = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-target", reason);
             return self.refuse(refusal, false).await;
--- a/crates/ibisroute/src/traffic/worker.rs
+++ b/crates/ibisroute/src/traffic/worker.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
@@ -245,12 +246,19 @@
         self.counts.borrow_mut().of(entry, Some(version)).retries += 1;
     }
 
-    /// Counts a call that was refused before a version was chosen.
-    pub(super) fn count_refused(&self, entry: &EntryName) {
+    /// Counts a call as its caller saw it, up to the head of the answer.
+    pub(super) fn count_call(&self, entry: &EntryName, end: CallEnd, took: Duration) {
         let mut counts = self.counts.borrow_mut();
-        let counts = counts.of(entry, None);
+        let counts = counts.calls.entry(entry.clone()).or_default();
         counts.calls += 1;
-        counts.refused += 1;
+        match end {
+            CallEnd::Answered => {}
+            CallEnd::Failed => counts.failures += 1,
+            CallEnd::Refused => counts.refused += 1,
+        }
+        if end != CallEnd::Refused {
+            counts.latency.record(u64::try_from(took.as_micros()).unwrap_or(u64::MAX));
+        }
     }
 
     fn is_stopped(&self, id: &MoveId, now: Millis) -> bool {
@@ -260,7 +268,7 @@
     fn report(&self) {
         self.balancer.borrow_mut().forget(self.shared.now(), FORGET_TARGETS);
         let counts = std::mem::take(&mut *self.counts.borrow_mut());
-        if !counts.outcomes.is_empty() {
+        if counts != TrafficCounts::default() {
             // The control thread ends only when the node stops.
             let _ = self.shared.control.send(ControlWork::Counts(counts));
         }
@@ -292,6 +300,17 @@
     }
 }
 
+/// How a call ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallEnd {
+    /// An answer.
+    Answered,
+    /// No answer, or one that tells of a failure.
+    Failed,
+    /// Refused as "not run".
+    Refused,
+}
+
 /// How an attempt ended, for the counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AttemptEnd {
--- a/crates/ibisroute/tests/burn_report.rs
+++ b/crates/ibisroute/tests/burn_report.rs
@@ -8,6 +8,7 @@
 use ibisroute::catalogue::model::Entry;
 use ibisroute::catalogue::model::Limits;
 use ibisroute::catalogue::model::Objective;
+use ibisroute::report::burn::Alert;
 use ibisroute::report::burn::BurnMeter;
 use ibisroute::report::burn::EntryBurn;
 use ibisroute::report::burn::merge;
@@ -55,7 +56,7 @@
 /// `calls` of which some failed, were refused, or were slow.
 fn counts(calls: u64, failures: u64, refused: u64, slow: u64) -> TrafficCounts {
     let mut counts = TrafficCounts::default();
-    let of = counts.of(&name("search"), Some(&name("v1")));
+    let of = counts.calls.entry(name("search")).or_default();
     (of.calls, of.failures, of.refused) = (calls, failures, refused);
     for i in 0..calls - refused {
         of.latency.record(if i < slow { 900_000 } else { 20_000 });
@@ -81,18 +82,19 @@
     fill(&mut meter, 60, 65, &counts(100, 30, 0, 0));
     let burn = burn_at(&mut meter, 65);
     assert!(burn.burn_5m > 14.4 && burn.burn_1h < 14.4, "{burn:?}");
-    assert!(!burn.alert, "{burn:?}");
+    assert_eq!(burn.alert, None, "{burn:?}");
 }
 
 #[test]
 fn lasting_burn_alerts_on_both_pairs() {
     let mut fast = BurnMeter::new(ReportSettings::default());
     fill(&mut fast, 0, 60, &counts(100, 16, 0, 0));
-    assert!(burn_at(&mut fast, 60).alert);
+    assert_eq!(burn_at(&mut fast, 60).alert, Some(Alert::Page));
     let mut slow = BurnMeter::new(ReportSettings::default());
     fill(&mut slow, 0, 360, &counts(100, 7, 0, 0));
     let burn = burn_at(&mut slow, 360);
-    assert!(burn.burn_5m < 14.4 && burn.alert, "{burn:?}");
+    assert!(burn.burn_5m < 14.4, "{burn:?}");
+    assert_eq!(burn.alert, Some(Alert::Ticket), "{burn:?}");
 }
 
 #[test]
@@ -113,7 +115,7 @@
     let mut meter = BurnMeter::new(ReportSettings::default());
     fill(&mut meter, 0, 5, &counts(100, 0, 0, 0));
     let burn = burn_at(&mut meter, 5);
-    assert_eq!((burn.budget_left_percent, burn.alert), (100.0, false));
+    assert_eq!((burn.budget_left_percent, burn.alert), (100.0, None));
 }
 
 #[test]
@@ -178,5 +180,5 @@
     assert!(["5m", "30m", "1h", "6h"].iter().all(|w| entry["windows"][w]["calls"].is_u64()));
     let table = render::table(&report);
     assert!(table.starts_with("ENTRY") && table.lines().count() == 2, "{table}");
-    assert!(table.lines().nth(1).is_some_and(|l| l.ends_with("yes")), "{table}");
+    assert!(table.lines().nth(1).is_some_and(|l| l.ends_with("page")), "{table}");
 }
