Weight the quick start's calls by the entries' limits

Cause: with equal weights the uploads ran at their limit of 20 calls/s, and 15 of 522 were refused with 429. Change: calls are weighted by the rate limit of their entry.

--- a/crates/standins/src/programs.rs
+++ b/crates/standins/src/programs.rs
@@ -49,12 +49,19 @@
         .collect()
 }
 
-/// One kind of call for each entry of a catalogue, all with the same weight.
+/// One kind of call for each entry of a catalogue, weighted by the entry's rate limit, so that no entry
+/// reaches its limit before the others.
 pub fn calls(catalogue: &Value) -> eyre::Result<Vec<CallSpec>> {
     let entries = catalogue["entries"].as_array().ok_or_eyre("the catalogue has no entries")?;
     entries.iter().map(call).collect()
 }
 
+fn weight(entry: &Value) -> u32 {
+    let rate = entry["limits"]["rate_per_s"].as_f64().unwrap_or(1.0);
+    // A whole number of at least one; rates of catalogues are far below the limit of the type.
+    rate.max(1.0) as u32
+}
+
 fn call(entry: &Value) -> eyre::Result<CallSpec> {
     let class: Class = serde_json::from_value(entry["class"].clone())?;
     let body_bytes = match class {
@@ -73,6 +80,7 @@
         idempotency_header: entry["idempotency_header"]
             .as_str()
             .map_or(defaults.idempotency_header, str::to_string),
+        weight: weight(entry),
         ..CallSpec::default()
     })
 }
