--- a/crates/ibisroute/src/bin/ibisrouted.rs
+++ b/crates/ibisroute/src/bin/ibisrouted.rs
@@ -35,10 +35,23 @@
             Arg::new("check")
                 .long("check")
                 .action(ArgAction::SetTrue)
-                .help("Check the settings and exit"),
+                .help("Check the settings, print them with all defaults, and exit"),
         )
 }
 
+fn print_settings(settings: &NodeSettings) -> ExitCode {
+    match serde_json::to_string_pretty(settings) {
+        Ok(text) => {
+            println!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("error: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let args = command().get_matches();
     let file = args.get_one::<PathBuf>("settings").expect("clap requires --settings");
@@ -50,8 +63,7 @@
         }
     };
     if args.get_flag("check") {
-        println!("settings are valid");
-        return ExitCode::SUCCESS;
+        return print_settings(&settings);
     }
     match logging::start(&settings.log).and_then(|()| run::run(settings)) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/ibisroute/src/settings/mod.rs
+++ b/crates/ibisroute/src/settings/mod.rs
@@ -167,17 +167,45 @@
     }
 
     fn check(&self) -> Result<(), SettingsError> {
-        require(self.claims.shards >= 1, "claims.shards", "must be at least 1")?;
-        require(self.claims.max_batch >= 1, "claims.max_batch", "must be at least 1")?;
-        let chunk = self.uploads.chunk_bytes;
+        self.check_periods()?;
+        at_least_one(self.claims.shards as usize, "claims.shards")?;
+        at_least_one(self.claims.max_batch, "claims.max_batch")?;
+        at_least_one(self.traffic.workers, "traffic.workers")?;
+        at_least_one(self.traffic.max_attempts, "traffic.max_attempts")?;
+        at_least_one(self.moves.evaluators, "moves.evaluators")?;
+        at_least_one(self.uploads.store_attempts as usize, "uploads.store_attempts")?;
+        let (connect, request) =
+            (self.platform.connect_timeout_ms, self.platform.request_timeout_ms);
         require(
-            (1024..=16 << 20).contains(&chunk),
+            connect < request,
+            "platform.connect_timeout_ms",
+            "must be below platform.request_timeout_ms",
+        )?;
+        require(
+            (1024..=16 << 20).contains(&self.uploads.chunk_bytes),
             "uploads.chunk_bytes",
             "must be from 1024 to 16777216",
-        )?;
-        require(self.uploads.store_attempts >= 1, "uploads.store_attempts", "must be at least 1")?;
-        Ok(())
+        )
     }
+
+    /// A period of zero would keep the control thread busy without end.
+    fn check_periods(&self) -> Result<(), SettingsError> {
+        let periods = [
+            (self.membership.tick_period_ms, "membership.tick_period_ms"),
+            (self.membership.probe_period_ms, "membership.probe_period_ms"),
+            (self.distribution.tick_period_ms, "distribution.tick_period_ms"),
+            (self.distribution.poll_min_ms, "distribution.poll_min_ms"),
+            (self.targets.health_period_ms, "targets.health_period_ms"),
+            (self.uploads.scan_period_ms, "uploads.scan_period_ms"),
+            (self.traffic.count_interval.0, "traffic.count_interval"),
+            (self.peers.ping_interval.0, "peers.ping_interval"),
+        ];
+        periods.into_iter().try_for_each(|(ms, path)| require(ms >= 1, path, "must be at least 1"))
+    }
+}
+
+fn at_least_one(n: usize, path: &str) -> Result<(), SettingsError> {
+    require(n >= 1, path, "must be at least 1")
 }
 
 fn require(holds: bool, path: &str, problem: &str) -> Result<(), SettingsError> {
--- /dev/null
+++ b/crates/ibisroute/tests/node_settings.rs
@@ -0,0 +1,61 @@
+//! Settings of a node: defaults, errors and the reference page.
+
+use std::path::Path;
+
+use ibisroute::settings::NodeSettings;
+use ibisroute::settings::SettingsError;
+use serde_json::Value;
+use serde_json::json;
+
+fn minimal() -> Value {
+    json!({"node": "erongo-1-01", "data_centre": "erongo-1", "region": "erongo", "listen": {
+        "control": "127.0.0.1:0", "peer": "127.0.0.1:0", "caller": "127.0.0.1:0",
+        "admin": "127.0.0.1:0", "targets": "127.0.0.1:0"}})
+}
+
+fn error_path(settings: &Value) -> String {
+    match NodeSettings::parse(settings.to_string().as_bytes()) {
+        Err(SettingsError::Invalid { path, .. }) => path,
+        other => panic!("expected an invalid field, got {other:?}"),
+    }
+}
+
+/// Guards against a key that the reference page lacks, or shows with another default.
+#[test]
+fn page_lists_every_key() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/settings.md");
+    let page = std::fs::read_to_string(path).expect("docs/settings.md is readable");
+    let settings = NodeSettings::parse(minimal().to_string().as_bytes()).expect("valid settings");
+    let all = serde_json::to_value(settings).expect("settings are JSON");
+    for (section, keys) in all.as_object().expect("an object") {
+        let Some(keys) = keys.as_object().filter(|_| section != "listen") else { continue };
+        let start = page.find(&format!("## `{section}`")).expect("the section is on the page");
+        let rest = &page[start + 3..];
+        let part = &rest[..rest.find("\n## ").unwrap_or(rest.len())];
+        for (key, default) in keys {
+            let row = part.lines().find(|l| l.starts_with(&format!("| `{key}` |")));
+            let row = row.unwrap_or_else(|| panic!("{section}.{key} is not on the page"));
+            assert!(row.contains(&format!("| `{default}` |")), "{section}.{key}: {default}: {row}");
+        }
+    }
+}
+
+/// Guards against typing errors that are ignored, and errors that do not name the key.
+#[test]
+fn errors_name_the_key() {
+    let mut unknown = minimal();
+    unknown["membership"] = json!({"probe_perod_ms": 5});
+    assert_eq!(error_path(&unknown), "membership.probe_perod_ms");
+    let mut wrong = minimal();
+    wrong["listen"]["peer"] = json!("localhost:1");
+    assert_eq!(error_path(&wrong), "listen.peer");
+    let mut range = minimal();
+    range["claims"] = json!({"shards": 0});
+    assert_eq!(error_path(&range), "claims.shards");
+    let mut period = minimal();
+    period["membership"] = json!({"tick_period_ms": 0});
+    assert_eq!(error_path(&period), "membership.tick_period_ms");
+    let mut name = minimal();
+    name["node"] = json!("Upper Case");
+    assert_eq!(error_path(&name), "node");
+}
