Test restarts of nodes with real processes

Cause: restarts were tested over a virtual network only. Change: config_restarts.rs kills single nodes, half of 8 nodes and a whole fleet, with the platform up, refusing and hanging, and during a change. A sampler thread per node asserts that no version ever decreases, also across restarts.

--- /dev/null
+++ b/crates/ibisroute/tests/config_restarts.rs
@@ -0,0 +1,123 @@
+//! Restarts of single nodes, of half a fleet and of a whole fleet, with and without the platform.
+
+mod common;
+
+use std::time::Instant;
+
+use common::cluster;
+use common::fleet;
+use common::fleet::Operator;
+use common::fleet::VersionSampler;
+use standins::platform::faults::Outage;
+use standins::platform::faults::PlatformFaults;
+
+fn outage(outage: Outage) -> PlatformFaults {
+    PlatformFaults { outage, ..PlatformFaults::default() }
+}
+
+/// Guards against a restarted node that serves an older version, or needs more than 3 s, while the
+/// platform is up.
+#[test]
+fn single_restart() {
+    let _slot = fleet::slot();
+    let mut cluster = fleet::started(cluster::builder().data_centre("erongo-1", "erongo", 4));
+    let sampler = VersionSampler::start(&cluster);
+    for node in 0..4 {
+        let (version, _) = fleet::accept(&cluster, 2 + node as u64);
+        cluster.kill_nodes(&[node]).expect("the node is killed");
+        sampler.killed(&[node]);
+        let restarted = Instant::now();
+        cluster.start_nodes(&[node]).expect("the node starts");
+        fleet::serving(&cluster, version, restarted, "single restart");
+    }
+    sampler.check();
+}
+
+/// Guards against a herd of restarted nodes that misses a version accepted while it starts.
+#[test]
+fn half_restarted_during_change() {
+    let _slot = fleet::slot();
+    let mut cluster = fleet::started(cluster::builder().data_centre("erongo-1", "erongo", 8));
+    let sampler = VersionSampler::start(&cluster);
+    let half = [1, 3, 5, 7];
+    cluster.kill_nodes(&half).expect("nodes are killed");
+    sampler.killed(&half);
+    let operator = Operator::new(&cluster);
+    let change = std::thread::spawn(move || {
+        let output = operator.apply("during-restart", &fleet::catalogue(2), 1);
+        (output, Instant::now())
+    });
+    let restarted = Instant::now();
+    cluster.start_nodes(&half).expect("nodes start");
+    let (output, accepted) = change.join().expect("the operator does not panic");
+    assert_eq!(output.code, Some(0), "{}", output.stderr);
+    fleet::serving(&cluster, 1, restarted, "half of the fleet");
+    fleet::in_effect(&cluster, 2, accepted, "change during the restart");
+    sampler.check();
+}
+
+/// Guards against a restarted node that cannot find its version floor, or its peers, without the
+/// platform.
+#[test]
+fn single_restart_without_platform() {
+    let _slot = fleet::slot();
+    let mut cluster = fleet::started(cluster::builder().data_centre("erongo-1", "erongo", 8));
+    let (version, accepted) = fleet::accept(&cluster, 2);
+    fleet::in_effect(&cluster, version, accepted, "before the outage");
+    let sampler = VersionSampler::start(&cluster);
+    cluster.platform().set_faults(outage(Outage::Refused));
+    for node in [0, 5] {
+        cluster.kill_nodes(&[node]).expect("the node is killed");
+        sampler.killed(&[node]);
+        let restarted = Instant::now();
+        cluster.start_nodes(&[node]).expect("the node starts");
+        fleet::serving(&cluster, version, restarted, "single restart without the platform");
+    }
+    sampler.check();
+}
+
+/// Guards against a herd that cannot recover from its peers alone.
+#[test]
+fn half_restarted_without_platform() {
+    let _slot = fleet::slot();
+    let mut cluster = fleet::started(cluster::builder().data_centre("erongo-1", "erongo", 8));
+    let (version, accepted) = fleet::accept(&cluster, 2);
+    fleet::in_effect(&cluster, version, accepted, "before the outage");
+    let sampler = VersionSampler::start(&cluster);
+    cluster.platform().set_faults(outage(Outage::Hanging));
+    let half = [0, 2, 4, 6];
+    cluster.kill_nodes(&half).expect("nodes are killed");
+    sampler.killed(&half);
+    let restarted = Instant::now();
+    cluster.start_nodes(&half).expect("nodes start");
+    fleet::serving(&cluster, version, restarted, "half of the fleet without the platform");
+    sampler.check();
+}
+
+/// Guards against a fleet that serves an unknown version after all nodes lost their memory at once,
+/// and against one that does not recover with the platform.
+#[test]
+fn whole_fleet_restarted_without_platform() {
+    let _slot = fleet::slot();
+    let mut cluster = fleet::started(cluster::builder().data_centre("erongo-1", "erongo", 6));
+    let (version, accepted) = fleet::accept(&cluster, 2);
+    fleet::in_effect(&cluster, version, accepted, "before the outage");
+    let sampler = VersionSampler::start(&cluster);
+    cluster.platform().set_faults(outage(Outage::Hanging));
+    let all = [0, 1, 2, 3, 4, 5];
+    cluster.kill_nodes(&all).expect("nodes are killed");
+    sampler.killed(&all);
+    cluster.start_nodes(&all).expect("nodes start");
+    // Longer than a node waits for the table before it asks peers for the floor.
+    let started = Instant::now();
+    while started.elapsed() < cluster::CONVERGENCE_BOUND {
+        for node in cluster.nodes() {
+            assert!(fleet::refuses_as_starting(node), "{} serves", node.spec().name);
+            assert_eq!(node.version(), Some(0), "{}", node.spec().name);
+        }
+    }
+    cluster.platform().set_faults(PlatformFaults::default());
+    let back = Instant::now();
+    fleet::serving(&cluster, version, back, "whole fleet after the platform is back");
+    sampler.check();
+}
