Count members by the status that nodes print

Cause: Node::members left out members with status "dead", but /members prints "Dead", so that dead members counted. wait_members(3) waited 10 s in vain while the node said "alive":3,"dead":1. Change: the comparison ignores case. Measured: the waits for separated sides and for a paused node end. Conclusion: tests that wait for members now see dead ones leave.

--- a/crates/standins/src/harness/cluster.rs
+++ b/crates/standins/src/harness/cluster.rs
@@ -267,7 +267,8 @@
     pub fn members(&self) -> Option<usize> {
         let body = self.admin("/members")?.json();
         let members = body["members"].as_array().or_else(|| body.as_array())?;
-        Some(members.iter().filter(|member| member["status"] != "dead").count())
+        let dead = |m: &Value| m["status"].as_str().is_some_and(|s| s.eq_ignore_ascii_case("dead"));
+        Some(members.iter().filter(|member| !dead(member)).count())
     }
 
     /// Everything that it printed since the cluster started, at most 20,000 lines of each process.
--- a/crates/standins/src/harness/mod.rs
+++ b/crates/standins/src/harness/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! What it reads from the admin interface: `version` (or `version_in_effect`) of `/status`, and the
 //! list of `/members` (an array, or an object with the array `members`; a member whose `status` is
-//! `dead` does not count).
+//! `dead`, in any case, does not count).
 
 mod catalogue;
 mod cluster;
