Test outages and slowness of the platform, and lost answers

Cause: convergence after outages was not tested with real processes. Change: config_outages.rs takes the platform away from two nodes (refusing, hanging, answering 503) until each has started polls that fail, and applies a version as soon as it is back; runs 8 nodes with 300 ms per request and half of them restarting; and loses the answer to the operator's write of the head.

--- /dev/null
+++ b/crates/ibisroute/tests/config_outages.rs
@@ -0,0 +1,121 @@
+//! Versions during and after outages and slowness of the platform.
+
+mod common;
+
+use std::time::Instant;
+
+use common::cluster;
+use common::fleet;
+use common::fleet::Operator;
+use common::fleet::VersionSampler;
+use standins::harness::Node;
+use standins::platform::faults::LostBy;
+use standins::platform::faults::Outage;
+use standins::platform::faults::PlatformFaults;
+
+/// Polls of the head row that a node has started.
+fn polls(node: &Node) -> Option<u64> {
+    let metrics = node.admin("/metrics")?;
+    let text = String::from_utf8_lossy(&metrics.body).into_owned();
+    let line = text.lines().find(|l| l.starts_with("ibis_distribution_polls_total"))?;
+    line.split_whitespace().last()?.parse().ok()
+}
+
+/// Takes the platform down until each node has started a poll that fails, ends the outage and
+/// applies a version at once: it is in effect in time, and the earlier one stays in effect during
+/// the outage. Two nodes, because a larger fleet hides a node whose polls come back late.
+fn outage_between_versions(outage: Outage) {
+    let _slot = fleet::slot();
+    let cluster = fleet::started(cluster::builder().data_centre("erongo-1", "erongo", 2));
+    let sampler = VersionSampler::start(&cluster);
+    let operator = Operator::new(&cluster);
+    for version in 2..5 {
+        let before: Vec<_> = cluster.nodes().iter().map(polls).collect();
+        cluster.platform().set_faults(PlatformFaults { outage, ..PlatformFaults::default() });
+        // A poll that was under way when the outage began may have succeeded, the second did not.
+        fleet::eventually("polls during the outage", || {
+            let mut pairs = cluster.nodes().iter().zip(&before);
+            pairs.all(|(node, before)| polls(node) >= before.map(|n| n + 2))
+        });
+        let serving = |node: &Node| node.is_ready() && node.version() == Some(version - 1);
+        assert!(cluster.nodes().iter().all(serving), "an outage stops no node");
+        cluster.platform().set_faults(PlatformFaults::default());
+        let output = operator.apply("after-outage", &fleet::catalogue(version), version - 1);
+        let accepted = Instant::now();
+        assert_eq!(output.code, Some(0), "{}", output.stderr);
+        fleet::in_effect(&cluster, version, accepted, &format!("after an outage ({outage:?})"));
+    }
+    sampler.check();
+}
+
+/// Guards against polls that come back too late after the platform refused connections.
+#[test]
+fn outage_refused() {
+    outage_between_versions(Outage::Refused);
+}
+
+/// Guards against polls that hang for longer than the bound after the platform hung.
+#[test]
+fn outage_hanging() {
+    outage_between_versions(Outage::Hanging);
+}
+
+/// Guards against polls that come back too late after the platform answered with errors.
+#[test]
+fn outage_unavailable() {
+    outage_between_versions(Outage::Unavailable);
+}
+
+/// Guards against slow convergence while each request to the platform takes 300 ms, also for half
+/// of the fleet that restarts meanwhile.
+#[test]
+fn slow_platform_with_restarts() {
+    let _slot = fleet::slot();
+    let mut cluster = fleet::started(cluster::builder().data_centre("erongo-1", "erongo", 8));
+    let sampler = VersionSampler::start(&cluster);
+    let slow = PlatformFaults { latency_ms: (300, 300), ..PlatformFaults::default() };
+    cluster.platform().set_faults(slow);
+    let (version, accepted) = fleet::accept(&cluster, 2);
+    fleet::in_effect(&cluster, version, accepted, "slow platform");
+    let half = [0, 1, 2, 3];
+    cluster.kill_nodes(&half).expect("nodes are killed");
+    sampler.killed(&half);
+    let restarted = Instant::now();
+    cluster.start_nodes(&half).expect("nodes start");
+    fleet::serving(&cluster, version, restarted, "half of the fleet, slow platform");
+    let (version, accepted) = fleet::accept(&cluster, 3);
+    fleet::in_effect(&cluster, version, accepted, "slow platform after the restart");
+    sampler.check();
+}
+
+/// Guards against a version that is accepted twice, or lost, when the answers to the operator's
+/// writes are lost after they took effect.
+#[test]
+fn lost_answers() {
+    let _slot = fleet::slot();
+    let cluster = fleet::started(cluster::builder().data_centre("erongo-1", "erongo", 4));
+    let sampler = VersionSampler::start(&cluster);
+    let operator = Operator::new(&cluster);
+    // The nodes write a row each after their start; their answers are not the ones to be lost.
+    fleet::eventually("entry points", || cluster.platform().rows("node/").len() == 4);
+    for (base, lose_by) in [(1, LostBy::Close), (2, LostBy::Close), (3, LostBy::Silence)] {
+        // Slow answers leave time to lose the answer to the head's write and not the body's.
+        let slow = PlatformFaults { latency_ms: (100, 100), ..PlatformFaults::default() };
+        cluster.platform().set_faults(slow.clone());
+        let bodies = || cluster.platform().object_names("catalogue/").len() as u64;
+        let operator = operator.clone();
+        let change = std::thread::spawn(move || {
+            let output = operator.apply("lost-answers", &fleet::catalogue(base + 1), base);
+            (output, Instant::now())
+        });
+        fleet::eventually("the body to be stored", || bodies() > base);
+        let before = cluster.platform().counters().lost;
+        cluster.platform().set_faults(PlatformFaults { lose_next: 1, lose_by, ..slow });
+        let (output, accepted) = change.join().expect("the operator does not panic");
+        assert_eq!(output.code, Some(0), "{} {}", output.stdout, output.stderr);
+        assert_eq!(cluster.platform().counters().lost, before + 1, "one answer is lost");
+        fleet::in_effect(&cluster, base + 1, accepted, &format!("answers lost by {lose_by:?}"));
+    }
+    assert_eq!(cluster.platform().rows("history/").len(), 4, "each version is there once");
+    sampler.check();
+}
