Take no target's answer as proof that a request did not run

Cause: `Answer::is_not_run` trusted the header `X-Ibis-Outcome: not-run` of a target's answer. A target that forwards the refusal of a further service has run its own part already, so a booking was released, sent to another target and ran twice.

Change: the node beside the target removes the header from the answer. The function is gone; only refusals of nodes (`ReplyHead::Refused`, and calls that were not sent) count as proof.

Conclusion: an answer of a target, whatever it says, keeps the claim and is recorded as the result.

--- a/crates/ibisroute/src/traffic/dispatch.rs
+++ b/crates/ibisroute/src/traffic/dispatch.rs
@@ -409,6 +409,9 @@
         };
         self.reachable(&head.instance, None);
         let mut answer_headers = answer.headers;
+        // Only a node's own refusal proves that a request did not run: the header of a target may be
+        // that of a further service whose answer it forwards.
+        answer_headers.retain(|(name, _)| !name.eq_ignore_ascii_case(headers::OUTCOME));
         let service = began.elapsed().as_micros().to_string();
         answer_headers.push((SmolStr::new_static(headers::SERVICE_MICROS), service.into_bytes()));
         let (writer, _, reader) = body_stream();
--- a/crates/ibisroute/src/traffic/ingress.rs
+++ b/crates/ibisroute/src/traffic/ingress.rs
@@ -238,11 +238,7 @@
                     Attempted::Refusal(refusal) => {
                         self.refuse(Refusal { ran, ..refusal }, retried).await
                     }
-                    Attempted::Answer(answer) => {
-                        // The claim of a request that provably did not run is released.
-                        let claim = claim.filter(|_| outcome != AttemptOutcome::NotRun);
-                        self.respond(*answer, retried, claim, began)
-                    }
+                    Attempted::Answer(answer) => self.respond(*answer, retried, claim, began),
                 };
             };
             if let Attempted::Answer(answer) = attempted {
@@ -445,7 +441,6 @@
 
 fn outcome_of(attempted: &Attempted) -> AttemptOutcome {
     match attempted {
-        Attempted::Answer(answer) if answer.is_not_run() => AttemptOutcome::NotRun,
         Attempted::Answer(_) => AttemptOutcome::Answer,
         Attempted::Refusal(refusal) if refusal.ran == Ran::NotRun => AttemptOutcome::NotRun,
         Attempted::Refusal(_) => AttemptOutcome::MayHaveRun,
--- a/crates/ibisroute/src/traffic/response.rs
+++ b/crates/ibisroute/src/traffic/response.rs
@@ -54,17 +54,9 @@
 
     /// How the attempt counts when its body is whole.
     pub(super) fn end(&self) -> AttemptEnd {
-        if self.is_not_run() {
-            return AttemptEnd::Refused;
-        }
         if self.status >= 500 { AttemptEnd::Failed } else { AttemptEnd::Answered }
     }
 
-    /// Whether the answer proves that the request did not run.
-    pub(super) fn is_not_run(&self) -> bool {
-        self.status >= 400 && self.header(headers::OUTCOME) == Some("not-run")
-    }
-
     /// Whether the answer may be tried again: 502, 503 or 504 without a retry further down.
     pub(super) fn is_transient(&self) -> bool {
         matches!(self.status, 502..=504) && !self.is_retried()
--- a/crates/ibisroute/tests/traffic_calls.rs
+++ b/crates/ibisroute/tests/traffic_calls.rs
@@ -436,6 +436,31 @@
     assert_eq!(*requests.lock().expect("count"), 2);
 }
 
+/// Guards against a booking that runs twice because its target forwarded the "not run" of a further
+/// service.
+#[actix_web::test]
+async fn forwarded_not_run_is_no_proof() {
+    let answer = "HTTP/1.1 503 Service Unavailable\r\nX-Ibis-Outcome: not-run\r\n\
+                  content-length: 0\r\nconnection: close\r\n\r\n";
+    let (first, first_requests) = start_raw_target(answer);
+    let (second, second_requests) = start_raw_target(answer);
+    let (near, far) = start_pair(first);
+    far.add_target("t2", second);
+    for node in [&near, &far] {
+        node.set_endpoints(&[("t1", far.peers), ("t2", far.peers)]);
+    }
+    for (i, node) in [&near, &far].into_iter().enumerate() {
+        let request =
+            client().post(node.url("/book")).insert_header(("idempotency-key", format!("k{i}")));
+        let response = request.send_body("order").await.expect("answer");
+        assert_eq!(response.status(), 503);
+        assert_eq!(response.headers().get("x-ibis-outcome"), None);
+        assert_eq!(node.released_claims(), 0);
+    }
+    let ran = *first_requests.lock().expect("count") + *second_requests.lock().expect("count");
+    assert_eq!(ran, 2, "two bookings ran {ran} times");
+}
+
 /// Guards against a lost claim when nothing reached the target, and a booking without a key.
 #[actix_web::test]
 async fn unreachable_target_not_run() {
