Hold short answers until they are whole

The response head was on its way when the deadline passed before the body, so the node could only break the connection.

Ruled out: a race of kept-alive connections (the elapsed time is the deadline each time) and the platform (the claim was granted).

Change: an answer with a known length of at most 64 KB is read to its end before the caller gets its head. One that is cut or late becomes a refusal "may-have-run", and a query is retried.

`late_end_is_refused` guards it; with `send_held` replaced by `send` it fails: "200 OK" where a refusal is expected.

Conclusion: fixed for short answers; longer or chunked ones are streamed and still break visibly.

--- a/crates/ibisroute/src/traffic/ingress.rs
+++ b/crates/ibisroute/src/traffic/ingress.rs
@@ -25,13 +25,18 @@
 use actix_web::web;
 use actix_web::web::Payload;
 use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::StreamExt;
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 use tokio::time::timeout_at;
 
+use super::call::BodyBroken;
+use super::call::BodyReader;
 use super::call::CallBody;
 use super::call::CallJob;
 use super::call::CallReply;
+use super::call::body_stream;
 use super::claim;
 use super::claim::ClaimGuard;
 use super::claim::Claimed;
@@ -53,6 +58,7 @@
 use super::worker::Shared;
 use super::worker::Worker;
 use crate::catalogue::model::Entry;
+use crate::peers::PeerError;
 use crate::peers::client::CallError;
 use crate::snapshot::CompiledCatalogue;
 use crate::snapshot::Endpoint;
@@ -66,6 +72,10 @@
 /// arrives before this node can only say that the call may have run.
 const REPLY_MARGIN_MS: u64 = 10;
 
+/// Longest answer that is held until it is whole before the caller gets its head. Without it an
+/// answer that ended right at the deadline, or was cut, broke the connection to the caller.
+const MAX_HELD_ANSWER_BYTES: u64 = 64 * 1024;
+
 /// Share of the remaining time after which a first attempt without an answer is given up, so that
 /// the rest is enough for another target. Silent target connections show no other sign.
 const EARLY_RETRY: f64 = 0.6;
@@ -309,7 +319,7 @@
             body_bytes: self.source.len(),
         };
         let endpoint = attempt.endpoint.clone();
-        let mut sending = std::pin::pin!(self.send(&endpoint, head, body));
+        let mut sending = std::pin::pin!(self.send_held(&endpoint, head, body));
         if let Some(early) = self.early_retry(tried) {
             if let Ok(sent) = timeout_at(early.into(), &mut sending).await {
                 return (self.attempted(attempt, Some(sent)), None);
@@ -369,6 +379,26 @@
         }
     }
 
+    /// Sends a call, and waits for the whole body of a short answer. Once the head of a response is
+    /// on its way, a body that is cut or late can only break the connection to the caller.
+    async fn send_held(
+        &self,
+        endpoint: &Endpoint,
+        head: CallHead,
+        body: CallBody,
+    ) -> Result<CallReply, CallError> {
+        let mut reply = self.send(endpoint, head, body).await?;
+        let is_short = matches!(&reply.head,
+            ReplyHead::Answer { body_bytes: Some(n), .. } if *n <= MAX_HELD_ANSWER_BYTES);
+        if let Some(body) = reply.body.take_if(|_| is_short) {
+            let held = hold(body).await.map_err(|e| {
+                CallError::Reset(PeerError::Broken(endpoint.peer_addr, e.to_string()))
+            })?;
+            reply.body = Some(held);
+        }
+        Ok(reply)
+    }
+
     /// Sends a call to the node beside the target, or directly to a target beside this node.
     async fn send(
         &self,
@@ -381,7 +411,7 @@
         }
         let ended = || {
             let reason = "the dispatch thread has ended".to_string();
-            crate::peers::PeerError::Unreachable(endpoint.peer_addr, reason)
+            PeerError::Unreachable(endpoint.peer_addr, reason)
         };
         let (reply, rx) = oneshot::channel();
         if !self.worker.shared.dispatch.call(CallJob { head, body, reply }) {
@@ -439,6 +469,21 @@
     }
 }
 
+/// Reads a short body to its end; the reader returned gives it without waiting.
+async fn hold(mut body: BodyReader) -> Result<BodyReader, BodyBroken> {
+    let mut buf = BytesMut::new();
+    while let Some(data) = body.next().await {
+        buf.extend_from_slice(&data?);
+    }
+    let (writer, _, reader) = body_stream();
+    // The channel has room for a chunk and the end.
+    if !buf.is_empty() {
+        writer.send(buf.freeze()).await;
+    }
+    writer.end().await;
+    Ok(reader)
+}
+
 fn outcome_of(attempted: &Attempted) -> AttemptOutcome {
     match attempted {
         Attempted::Answer(_) => AttemptOutcome::Answer,
--- a/crates/ibisroute/tests/traffic_calls.rs
+++ b/crates/ibisroute/tests/traffic_calls.rs
@@ -421,6 +421,44 @@
     }
 }
 
+/// Guards against a short answer whose end does not come in time and breaks the connection to the
+/// caller, who is then told nothing.
+#[actix_web::test]
+async fn late_end_is_refused() {
+    let (listener, target) = listen();
+    listener.set_nonblocking(true).expect("listener");
+    let listener = tokio::net::TcpListener::from_std(listener).expect("listener");
+    actix_rt::spawn(async move {
+        let mut open = Vec::new();
+        while let Ok((mut io, _)) = listener.accept().await {
+            let mut buf = [0; 1024];
+            let _ = io.read(&mut buf).await;
+            let _ = io.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nfirst").await;
+            open.push(io);
+        }
+    });
+    let (near, far) = start_pair(target);
+    for (i, node) in [&near, &far].into_iter().enumerate() {
+        let request = client()
+            .post(node.url("/book"))
+            .insert_header(("idempotency-key", format!("k{i}")))
+            .insert_header(("x-ibis-deadline-ms", "400"));
+        let response = request.send_body("order").await.expect("answer");
+        assert!(matches!(response.status().as_u16(), 503 | 504), "{}", response.status());
+        assert_eq!(response.headers().get("x-ibis-outcome").expect("outcome"), "may-have-run");
+        assert_eq!(node.released_claims(), 0);
+    }
+    let (good, _log) = start_target();
+    far.add_target("t2", good);
+    near.set_endpoints(&[("t1", far.peers), ("t2", far.peers)]);
+    for _ in 0..3 {
+        let request =
+            client().get(near.url("/sheets")).insert_header(("x-ibis-deadline-ms", "1000"));
+        let mut response = request.send().await.expect("answer");
+        assert_eq!(response.body().await.expect("body"), "sheet list");
+    }
+}
+
 /// Guards against a booking that is sent again, or reported as not run, after its target died.
 #[actix_web::test]
 async fn killed_target_may_have_run() {
