Count a cut body as no answer in the caller stand-in

Cause: awc takes a connection that closes before the content length for the end of the body, so the stand-in reported a visibly broken connection as `Wrong("Short")`, an answer that a caller would take for whole.

Change: the body is compared with the content length, as the HTTP client of the stand-ins does already. Wrong lengths of whole answers stay `Wrong`.

Conclusion: `Wrong` now only means an answer that a caller believes.

--- a/crates/standins/src/caller/sender.rs
+++ b/crates/standins/src/caller/sender.rs
@@ -260,10 +260,16 @@
         };
         let status = response.status().as_u16();
         let told = response.headers().get("x-ibis-outcome").map(|told| told.as_bytes().to_vec());
+        let length = response.headers().get("content-length").cloned();
+        let length = length.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
         let body = match response.body().limit(MAX_ANSWER_BYTES).await {
             Ok(body) => body,
             Err(e) => return no_answer(e.to_string()),
         };
+        // awc takes a connection that closes early for the end of the body.
+        if let Some(length) = length.filter(|length| *length != body.len()) {
+            return no_answer(format!("{} of {length} bytes", body.len()));
+        }
         match (status, told.as_deref()) {
             (200, _) => {}
             (202, _) if spec.class == Class::Upload => return (Outcome::Accepted, None),
