--- /dev/null
+++ b/crates/ibisroute/tests/booking_claims.rs
@@ -0,0 +1,201 @@
+//! Bookings that are repeated with their key run at most once, whatever fails meanwhile.
+
+mod common;
+
+use std::time::Duration;
+
+use common::cluster;
+use common::cluster::SOON;
+use common::load;
+use standins::caller::CallerStandin;
+use standins::caller::Class;
+use standins::caller::Outcome;
+use standins::caller::Summary;
+use standins::harness::Cluster;
+use standins::platform::faults::LostBy;
+use standins::platform::faults::Outage;
+use standins::platform::faults::PlatformFaults;
+
+/// Deadline of the bookings, in ms.
+const DEADLINE_MS: u64 = 800;
+
+fn three_nodes() -> Cluster {
+    let mut cluster = cluster::builder()
+        .data_centre("erongo-1", "erongo", 2)
+        .data_centre("erongo-2", "erongo", 1)
+        .start()
+        .expect("nodes start");
+    cluster::start_serving(&mut cluster);
+    cluster
+}
+
+fn start_bookings(cluster: &Cluster, seed: u64) -> CallerStandin {
+    let options = load::only(cluster, seed, &[Class::Booking, Class::CounterQuery]);
+    let options = load::with_deadline(options, DEADLINE_MS);
+    CallerStandin::start(options).expect("the caller starts")
+}
+
+/// Starts calls to some nodes only.
+fn start_bookings_at(cluster: &Cluster, seed: u64, nodes: &[usize]) -> CallerStandin {
+    let options = load::only(cluster, seed, &[Class::Booking, Class::CounterQuery]);
+    let mut options = load::with_deadline(options, DEADLINE_MS);
+    options.nodes = nodes.iter().map(|node| caller_of(cluster, *node)).collect();
+    CallerStandin::start(options).expect("the caller starts")
+}
+
+fn assert_queries_served(summary: &Summary) {
+    let queries = summary.class(Class::CounterQuery);
+    assert_eq!(queries.ok, queries.calls, "{}", summary.to_json());
+}
+
+/// Waits until bookings succeed again.
+fn wait_bookings(caller: &CallerStandin) {
+    let ok = || caller.summary().class(Class::Booking).ok;
+    let until = ok() + 20;
+    standins::wait::until_true("bookings to succeed", SOON, || ok() >= until).expect("bookings");
+}
+
+fn run_faults(seed: u64, faults: &[PlatformFaults]) {
+    let cluster = three_nodes();
+    let caller = start_bookings(&cluster, seed);
+    load::wait_calls(&caller, 50);
+    for fault in faults {
+        cluster.platform().set_faults(fault.clone());
+        load::wait_calls(&caller, 300);
+        cluster.platform().set_faults(PlatformFaults::default());
+        wait_bookings(&caller);
+    }
+    let summary = caller.stop();
+    load::assert_kept(&cluster, &summary, Vec::new());
+    let unanswered = load::unanswered(&summary);
+    assert!(unanswered.is_empty(), "{unanswered:#?}");
+    assert_queries_served(&summary);
+}
+
+/// Guards against bookings that run twice, or are refused late, when the answers to claims are lost
+/// after they took effect.
+#[test]
+fn lost_claim_answers() {
+    let lost =
+        |lose_by| PlatformFaults { lose_share: 0.4, lose_by, seed: 11, ..Default::default() };
+    run_faults(11, &[lost(LostBy::Close), lost(LostBy::Silence)]);
+}
+
+/// Guards against bookings that run twice, or are refused late, while the platform refuses, hangs or
+/// is slow, also when answers are lost as well.
+#[test]
+fn platform_outages() {
+    let outage = |outage| PlatformFaults { outage, ..Default::default() };
+    let slow = PlatformFaults { latency_ms: (300, 300), ..Default::default() };
+    let slow_and_lost = PlatformFaults { lose_share: 0.3, seed: 12, ..slow.clone() };
+    run_faults(
+        12,
+        &[
+            outage(Outage::Unavailable),
+            outage(Outage::Refused),
+            outage(Outage::Hanging),
+            slow,
+            slow_and_lost,
+        ],
+    );
+}
+
+/// Guards against refusals without proof, or after the deadline, while the platform is down.
+#[test]
+fn outage_refusals_not_run() {
+    let cluster = three_nodes();
+    for (seed, outage) in [(21, Outage::Refused), (22, Outage::Hanging), (23, Outage::Unavailable)]
+    {
+        cluster.platform().set_faults(PlatformFaults { outage, ..Default::default() });
+        let options = load::only(&cluster, seed, &[Class::Booking]);
+        let mut options = load::with_deadline(options, DEADLINE_MS);
+        options.max_calls = Some(60);
+        options.repeat_share = 0.0;
+        let summary = CallerStandin::run(options).expect("the caller runs");
+        load::assert_kept(&cluster, &summary, Vec::new());
+        let refused = summary.log.iter().all(|call| matches!(call.outcome, Outcome::NotRun(_)));
+        assert!(refused, "{outage:?} {}", summary.to_json());
+        cluster.platform().set_faults(PlatformFaults::default());
+    }
+}
+
+/// Guards against bookings that run twice when claim owners are killed, also while answers of the
+/// platform are lost.
+#[test]
+fn claim_owners_killed() {
+    let mut cluster = cluster::builder()
+        .data_centre("erongo-1", "erongo", 2)
+        .data_centre("erongo-2", "erongo", 2)
+        .start()
+        .expect("nodes start");
+    cluster::start_serving(&mut cluster);
+    // The nodes 1 and 3 get no calls; each owns about a quarter of the keys.
+    let caller = start_bookings_at(&cluster, 31, &[0, 2]);
+    load::wait_calls(&caller, 100);
+    cluster.platform().set_faults(PlatformFaults {
+        lose_share: 0.2,
+        seed: 31,
+        ..Default::default()
+    });
+    cluster.kill_nodes(&[1]).expect("killed");
+    load::wait_calls(&caller, 200);
+    cluster.start_nodes(&[1]).expect("restarted");
+    cluster.kill_nodes(&[3]).expect("killed");
+    load::wait_calls(&caller, 200);
+    cluster.platform().set_faults(PlatformFaults::default());
+    wait_bookings(&caller);
+    let summary = caller.stop();
+    load::assert_kept(&cluster, &summary, Vec::new());
+}
+
+/// Guards against bookings that run twice when a claim owner is paused for longer than leases and
+/// deadlines, and its late writes meet repeats that went to the next owner.
+#[test]
+fn claim_owner_paused() {
+    let mut cluster = cluster::builder()
+        .data_centre("erongo-1", "erongo", 2)
+        .data_centre("erongo-2", "erongo", 2)
+        .start()
+        .expect("nodes start");
+    cluster::start_serving(&mut cluster);
+    let caller = start_bookings_at(&cluster, 41, &[0, 2]);
+    load::wait_calls(&caller, 100);
+    cluster.pause_node(1).expect("paused");
+    // Longer than the lease of 3 s and every deadline; the load is 300 calls a second.
+    load::wait_calls(&caller, 1200);
+    cluster.resume_node(1).expect("resumed");
+    load::wait_calls(&caller, 100);
+    caller.set_nodes(cluster.callers());
+    wait_bookings(&caller);
+    let summary = caller.stop();
+    load::assert_kept(&cluster, &summary, Vec::new());
+}
+
+fn caller_of(cluster: &Cluster, node: usize) -> std::net::SocketAddr {
+    cluster.node(node).addresses().expect("started").caller
+}
+
+/// Guards against a claim that a booking cannot be repeated with after its node died: the repeat gets
+/// the recorded answer, or is told that it may have run.
+#[test]
+fn repeats_get_recorded_answer() {
+    let cluster = three_nodes();
+    let book = |node: usize, body: &str| {
+        let url = format!("http://{}/counter/orders", caller_of(&cluster, node));
+        let request = standins::http::Request::new("POST", url)
+            .header("idempotency-key", "order-1")
+            .body(body.to_string())
+            .timeout(Duration::from_secs(3));
+        request.send().expect("the node answers")
+    };
+    let first = book(0, "two charts");
+    assert_eq!(first.status, 200, "{first:?}");
+    for node in [1, 2, 0] {
+        let again = book(node, "two charts");
+        assert_eq!((again.status, &again.body), (200, &first.body), "{again:?}");
+        let other = book(node, "three charts");
+        assert_eq!(other.status, 422, "{other:?}");
+        assert_eq!(other.header("x-ibis-outcome"), Some("not-run"), "{other:?}");
+    }
+    assert_eq!(load::records(&cluster).len(), 1);
+}
--- a/crates/ibisroute/tests/common/mod.rs
+++ b/crates/ibisroute/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "no test file uses all helpers")]
 
 pub(crate) mod cluster;
+pub(crate) mod load;
 
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
