--- a/crates/ibisroute/tests/common/mod.rs
+++ b/crates/ibisroute/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod cluster;
 pub(crate) mod fleet;
+pub(crate) mod load;
 
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
