--- a/crates/ibisroute/tests/common/mod.rs
+++ b/crates/ibisroute/tests/common/mod.rs
@@ -4,6 +4,8 @@
 pub(crate) mod cluster;
 pub(crate) mod fleet;
 pub(crate) mod load;
+pub(crate) mod moves;
+pub(crate) mod owner;
 
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
