Measure goodput under overload

Cause: nothing measured how calls fare when the offered load exceeds the slots. Change: bench overload runs six nodes with targets at 0.5 to 3 times the slots' capacity, without fault and with a slow, a failing and a lying target and a lost data centre; the baseline sends the same calls to targets at random.

--- a/crates/standins/src/bin/bench/main.rs
+++ b/crates/standins/src/bin/bench/main.rs
@@ -3,6 +3,7 @@
 
 mod added_latency;
 mod control;
+mod overload;
 
 use std::path::Path;
 use std::path::PathBuf;
@@ -43,6 +44,15 @@
                 .arg(number("concurrency", "4", "Calls at a time"))
                 .arg(number("seed", "1", "Seed of the calls")),
         )
+        .subcommand(
+            Command::new("overload")
+                .about(
+                    "Goodput, timely answers and retries from 0.5 to 3 times the slots' capacity",
+                )
+                .arg(number("seconds", "6", "Length of a run"))
+                .arg(number("seed", "1", "Seed of the calls"))
+                .arg(file("plots", "Writes the chart to this folder")),
+        )
         .subcommand(
             Command::new("control")
                 .about("Control traffic, resources and convergence over the number of nodes")
@@ -83,6 +93,12 @@
     })
 }
 
+/// The load averages of the machine over 1, 5 and 15 minutes.
+pub(crate) fn load_average() -> String {
+    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split_whitespace().take(3).collect::<Vec<_>>().join(" ")
+}
+
 /// Writes a result when a file is named.
 fn write_json(path: Option<&PathBuf>, result: &Value) -> eyre::Result<()> {
     let Some(path) = path else { return Ok(()) };
@@ -97,6 +113,10 @@
     let (result, sub) = match matches.subcommand() {
         Some(("added-latency", sub)) => (added_latency::run(ibisrouted, sub)?, sub),
         Some(("control", sub)) => (control::run(ibisrouted, sub)?, sub),
+        Some(("overload", sub)) => {
+            let ibisctl = standins::programs::binary(folder, "ibisctl")?;
+            (overload::run(ibisrouted, &ibisctl, sub)?, sub)
+        }
         _ => eyre::bail!("no such subcommand"),
     };
     write_json(sub.get_one::<PathBuf>("json"), &result)
