Find restarted nodes within half a second without the table

Cause: a restarted node knows nobody, and with the table down only a probe of a peer finds it. Two faults made this slow: a peer that got an answer from the new incarnation did not send its own record, so that the restarted node still knew nobody; and random probes miss a member for 3 s with a probability of about e^-3. first_reader_killed failed: "alive":1,"head_version":3, not serving after 3021 ms. Ruled out: the search for the floor, which starts as soon as one peer is known. Change: a member that answers with another incarnation is sent the own record; each node pings its next live member in the order of ids every 500 ms, and the dead ones before it; a newcomer introduces itself to the 8 members that follow it.

--- a/crates/ibisroute/src/membership/membership_settings.rs
+++ b/crates/ibisroute/src/membership/membership_settings.rs
@@ -30,6 +30,11 @@
     /// Push periods in which an update counts as fresh. Two rounds to four peers reach more than 99
     /// of 100 nodes; piggybacking reaches the rest.
     pub push_rounds: u32,
+    /// Period of the ping to the next member in the order of ids, which finds a restarted host.
+    pub ring_period_ms: u64,
+    /// Following members that a newcomer introduces itself to, and dead ones that are pinged at
+    /// most.
+    pub ring_span: usize,
     /// How long records of dead and left nodes are kept.
     pub dead_keep_ms: u64,
     /// How long records of nodes that were dead already at the first join are kept. They are not
@@ -97,6 +102,8 @@
             push_period_ms: 200,
             push_fanout: 4,
             push_rounds: 2,
+            ring_period_ms: 500,
+            ring_span: 8,
             dead_keep_ms: 600_000,
             dead_inherited_keep_ms: 300_000,
             sync_period_ms: 300_000,
--- a/crates/ibisroute/src/membership/state.rs
+++ b/crates/ibisroute/src/membership/state.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::ops::Bound;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -145,6 +146,7 @@
     score: u32,
     last_tick: Option<Millis>,
     next_probe: Millis,
+    next_ring: Millis,
     next_push: Millis,
     next_sync: Millis,
     sync_gap: u64,
@@ -172,6 +174,7 @@
             score: 0,
             last_tick: None,
             next_probe: Millis(0),
+            next_ring: Millis(0),
             next_push: Millis(0),
             next_sync: Millis(0),
             head: Head::default(),
@@ -234,6 +237,10 @@
             return;
         }
         self.run_probe(now);
+        if now >= self.next_ring {
+            self.next_ring = Millis(now.0 + self.settings.ring_period_ms);
+            self.ping_successors();
+        }
         if now >= self.next_probe {
             self.next_probe = Millis(now.0 + self.settings.probe_period_ms);
             self.start_probe(now);
@@ -348,6 +355,41 @@
         self.send(to, Some(&node), ProbeKind::Ping { sequence }, true);
     }
 
+    /// The members that follow this node in the order of ids, nearest first. Those that left are
+    /// not among them.
+    fn successors(&self) -> Vec<NodeId> {
+        let own = &self.local.node;
+        let after = self.members.range::<NodeId, _>((Bound::Excluded(own), Bound::Unbounded));
+        let before = self.members.range::<NodeId, _>(..own);
+        let present = after.chain(before).filter(|(_, m)| m.record.status != Status::Left);
+        present.map(|(node, _)| node.clone()).take(self.settings.ring_span).collect()
+    }
+
+    /// Pings the next live member and the dead ones before it. Random probes miss a member for 3 s
+    /// with a probability of about e^-3, which is too often for a host that restarted while the
+    /// table is down: it knows nobody and has to be found.
+    fn ping_successors(&mut self) {
+        for node in self.successors() {
+            let Some(member) = self.members.get(&node) else { continue };
+            let (to, live) = (member.record.addresses.control, member.record.is_live());
+            let sequence = self.next_sequence();
+            self.send(to, Some(&node), ProbeKind::Ping { sequence }, !live);
+            if live {
+                return;
+            }
+        }
+    }
+
+    /// Hosts of a rack restart together and follow one another in the order of ids; the first that
+    /// is found tells the next ones of itself at once.
+    fn introduce_to_successors(&mut self) {
+        for node in self.successors() {
+            let Some(to) = self.control_addr(&node) else { continue };
+            let sequence = self.next_sequence();
+            self.send(to, Some(&node), ProbeKind::Ping { sequence }, true);
+        }
+    }
+
     /// A suspect is told again in every period: the first notice may have been lost.
     fn remind_suspects(&mut self) {
         let suspects: Vec<(NodeId, SocketAddr)> = self
@@ -420,6 +462,9 @@
         }
         let before = (self.local.incarnation, self.local.revision);
         let own = self.local.node.as_str();
+        // The sender has restarted, or is new: it may know nobody, this node included.
+        let newcomer =
+            self.members.get(&from).is_none_or(|m| m.record.incarnation != datagram.incarnation);
         // The sender remembers an older record of this node, perhaps as dead.
         let stale_claim = datagram.updates.iter().any(|u| {
             u.node == own && ((u.incarnation, u.revision) < before || u.status != StatusWire::Alive)
@@ -452,11 +497,11 @@
             }
             ProbeKind::Ack { sequence, node } => {
                 self.receive_ack(sequence, &node);
-                if outdated || stale_claim {
+                if outdated || stale_claim || newcomer {
                     self.send(datagram.from_addr, Some(&from), ProbeKind::Update, true);
                 }
             }
-            ProbeKind::Update if stale_claim => {
+            ProbeKind::Update if stale_claim || newcomer => {
                 self.send(datagram.from_addr, Some(&from), ProbeKind::Update, true);
             }
             ProbeKind::Update => {}
@@ -503,6 +548,9 @@
             let origin = if inherited { Origin::Inherited } else { Origin::State };
             self.take(now, record, origin);
         }
+        if first {
+            self.introduce_to_successors();
+        }
     }
 
     fn take_update(&mut self, now: Millis, wire: MemberRecordWire) {
