Poll again soon after the platform has hung

Cause: a poll that hung when the platform came back held up the next one for up to 2 s, and the backoff added up to 2.2 s more, so that a lone node could need 4.2 s. Ruled out: the change of the head and the body, which take well under 300 ms. Change: a poll without an answer for 700 ms counts as failed and another one is made; the late answer is still taken, so that a platform slower than that is read all the same; a late failure is ignored unless another poll runs. The backoff ends at 1.2 s instead of 2 s, which keeps 1,000 restarting nodes at about 1,250 polls a second. Conclusion: the sum of the waits is now at most 2.1 s, which leaves 0.9 s for reading and applying.

--- a/crates/ibisroute/src/distribution/distribution_settings.rs
+++ b/crates/ibisroute/src/distribution/distribution_settings.rs
@@ -9,6 +9,10 @@
 pub struct DistributionSettings {
     /// Period of the actor's timer; the resolution of all other times.
     pub tick_period_ms: u64,
+    /// A poll without an answer for this long counts as failed and another one is made; its late
+    /// answer is still taken. Well above the answers of a slow platform, and short enough for a
+    /// node to recover within 3 s after the platform has hung.
+    pub poll_patience_ms: u64,
     /// Reads of the head row per second by the whole fleet.
     pub fleet_polls_per_s: u64,
     /// Shortest average period of a node's polls.
@@ -17,7 +21,8 @@
     pub poll_max_ms: u64,
     /// First upper bound of the jittered delay after a failed poll.
     pub poll_backoff_min_ms: u64,
-    /// Last upper bound of the jittered delay after a failed poll.
+    /// Last upper bound of the jittered delay after a failed poll. With `poll_patience_ms` before
+    /// it, a node polls again early enough to recover within 3 s.
     pub poll_backoff_max_ms: u64,
     /// Object reads per second by the whole fleet that a mass restart may cause; sets the jitter.
     pub fleet_object_reads_per_s: u64,
@@ -58,11 +63,12 @@
     fn default() -> Self {
         Self {
             tick_period_ms: 20,
+            poll_patience_ms: 700,
             fleet_polls_per_s: 40,
             poll_min_ms: 200,
             poll_max_ms: 30_000,
             poll_backoff_min_ms: 200,
-            poll_backoff_max_ms: 2_000,
+            poll_backoff_max_ms: 1_200,
             fleet_object_reads_per_s: 1_000,
             platform_timeout_ms: 3_000,
             push_fanout: 4,
--- a/crates/ibisroute/src/distribution/state.rs
+++ b/crates/ibisroute/src/distribution/state.rs
@@ -252,6 +252,8 @@
             Event::Tick => self.tick(now),
             Event::Peers(peers) => self.peers = peers,
             Event::TableHead(head) => self.table_head(now, head),
+            // A poll that was given up fails again later.
+            Event::TableFailed if self.poll_ends.is_none() => {}
             Event::TableFailed => self.table_failed(now),
             Event::History(version, head) => self.history(now, version, head),
             Event::Notice { head, control_addr, peer_addr } => {
@@ -307,7 +309,7 @@
             Millis(now.0 + self.rng.random_range(0..=self.settings.poll_min_ms))
         });
         if self.poll_ends.is_none() && now >= poll_at {
-            self.poll_ends = Some(Millis(now.0 + 2 * self.settings.platform_timeout_ms));
+            self.poll_ends = Some(Millis(now.0 + self.settings.poll_patience_ms));
             self.actions.push(Action::Poll);
         }
         self.search_floor(now);
