Let the peers that know the floor decide when all have answered

Cause: a restarted node waited for the answers of 3 peers that know the floor. When fewer than 3 survive, the restarted nodes wait for one another until the platform is back: most_restarted_without_platform (6 of 8 nodes) failed with "alive":8,"head_version":2,"version":0 after 3037 ms. With half restarted, peers were chosen at random again and again, and most of those knew nothing, which made up most of the time. Ruled out: finding the peers; all 8 were known. Change: a peer that answers that it does not know the floor counts as answered; when all live peers have answered, the highest head of those that know decides. A peer that does not answer leaves the floor open. No peer is asked twice before all were asked, and the next ones are asked at once. Conclusion: recovery without the platform needs one peer that remembers the version and answers from all that are counted as live.

--- a/crates/ibisroute/src/distribution/actor.rs
+++ b/crates/ibisroute/src/distribution/actor.rs
@@ -236,11 +236,13 @@
         let timeout = Millis(self.parts.settings.peer_timeout_ms);
         let reply = self.parts.transport.request(addr, ControlRequest::FetchHead, timeout);
         self.run(cx, async move {
-            let head = match reply.await {
-                Ok(ControlReply::Head(head)) => Some(head),
-                _ => None,
-            };
-            Done(Event::FloorAnswer { peer_addr: addr, head })
+            Done(match reply.await {
+                Ok(ControlReply::Head(head)) => {
+                    Event::FloorAnswer { peer_addr: addr, head: Some(head) }
+                }
+                Ok(ControlReply::Unknown) => Event::FloorUnknown(addr),
+                _ => Event::FloorAnswer { peer_addr: addr, head: None },
+            })
         });
     }
 
--- a/crates/ibisroute/src/distribution/state.rs
+++ b/crates/ibisroute/src/distribution/state.rs
@@ -83,7 +83,9 @@
     },
     /// A peer has recorded a head.
     Acknowledged(Head),
-    /// Answer to [`Action::AskFloor`]; `None` when the peer failed or does not know the floor.
+    /// A peer answered [`Action::AskFloor`] that it does not know the floor itself.
+    FloorUnknown(SocketAddr),
+    /// Answer to [`Action::AskFloor`]; `None` when the peer failed.
     FloorAnswer {
         /// The peer.
         peer_addr: SocketAddr,
@@ -195,6 +197,10 @@
 #[derive(Clone, Debug, Default)]
 struct FloorSearch {
     answers: BTreeMap<SocketAddr, Head>,
+    /// Peers that answered that they do not know the floor.
+    unknowing: BTreeSet<SocketAddr>,
+    /// Peers asked since all of them were.
+    asked: BTreeSet<SocketAddr>,
     ask_at: Option<Millis>,
 }
 
@@ -268,6 +274,7 @@
                 self.acknowledged(head);
             }
             Event::Acknowledged(head) => self.acknowledged(head),
+            Event::FloorUnknown(peer_addr) => self.floor_unknown(now, peer_addr),
             Event::FloorAnswer { peer_addr, head } => self.floor_answer(now, peer_addr, head),
             Event::Fetched { head, source, body } => self.fetched(now, head, source, body),
             Event::Compiled { head, result } => self.compiled(now, head, result),
@@ -410,8 +417,13 @@
         self.search.ask_at = Some(Millis(now.0 + delay));
         let mut open: Vec<SocketAddr> = self.peers.iter().map(|p| p.peer_addr).collect();
         open.retain(|addr| !self.search.answers.contains_key(addr));
+        if open.iter().all(|addr| self.search.asked.contains(addr)) {
+            self.search.asked.clear();
+        }
+        open.retain(|addr| !self.search.asked.contains(addr));
         let count = self.settings.floor_answers;
         for addr in open.choose_multiple(&mut self.rng, count) {
+            self.search.asked.insert(*addr);
             self.actions.push(Action::AskFloor(*addr));
         }
     }
@@ -424,9 +436,33 @@
         if self.floor.is_some() {
             return;
         }
+        self.search.unknowing.remove(&peer_addr);
         self.search.answers.insert(peer_addr, head);
+        self.decide_floor();
+    }
+
+    /// After a mass restart most peers know no floor; the next ones are asked at once.
+    fn floor_unknown(&mut self, now: Millis, peer_addr: SocketAddr) {
+        if self.floor.is_some() {
+            return;
+        }
+        self.search.unknowing.insert(peer_addr);
+        if self.peers.iter().any(|p| !self.search.asked.contains(&p.peer_addr)) {
+            self.search.ask_at = Some(now);
+        }
+        self.decide_floor();
+    }
+
+    /// Enough peers have told a head, or all live ones have answered and at least one of them knows
+    /// the floor. A peer that does not answer leaves it open, because it may know a higher head.
+    fn decide_floor(&mut self) {
+        let search = &self.search;
         let needed = self.settings.floor_answers.min(self.peers.len()).max(1);
-        if self.search.answers.len() >= needed {
+        let answered = |p: &Peer| {
+            search.answers.contains_key(&p.peer_addr) || search.unknowing.contains(&p.peer_addr)
+        };
+        let all = !search.answers.is_empty() && self.peers.iter().all(answered);
+        if search.answers.len() >= needed || all {
             // Heads that peers told otherwise count too.
             let highest = self.search.answers.values().map(|h| h.version).max();
             let best = self.best().unwrap_or_default().version;
--- a/crates/ibisroute/tests/config_restarts.rs
+++ b/crates/ibisroute/tests/config_restarts.rs
@@ -94,6 +94,25 @@
     sampler.check();
 }
 
+/// Guards against restarted nodes that wait for more answers than there are peers that remember
+/// the version: two of eight survive while the platform is down.
+#[test]
+fn most_restarted_without_platform() {
+    let _slot = fleet::slot();
+    let mut cluster = fleet::started(cluster::builder().data_centre("erongo-1", "erongo", 8));
+    let (version, accepted) = fleet::accept(&cluster, 2);
+    fleet::in_effect(&cluster, version, accepted, "before the outage");
+    let sampler = VersionSampler::start(&cluster);
+    cluster.platform().set_faults(outage(Outage::Refused));
+    let most = [0, 1, 2, 4, 5, 6];
+    cluster.kill_nodes(&most).expect("nodes are killed");
+    sampler.killed(&most);
+    let restarted = Instant::now();
+    cluster.start_nodes(&most).expect("nodes start");
+    fleet::serving(&cluster, version, restarted, "6 of 8 nodes without the platform");
+    sampler.check();
+}
+
 /// Guards against a fleet that serves an unknown version after all nodes lost their memory at once,
 /// and against one that does not recover with the platform.
 #[test]
--- a/crates/ibisroute/tests/support/config_net.rs
+++ b/crates/ibisroute/tests/support/config_net.rs
@@ -261,6 +261,7 @@
                     | Event::History(..)
                     | Event::Fetched { .. }
                     | Event::FloorAnswer { .. }
+                    | Event::FloorUnknown(_)
             )
         );
         let epoch = self.nodes[to].as_ref().map_or(0, |n| n.epoch);
@@ -322,7 +323,10 @@
                 Delivery::Ping { .. } => {}
                 Delivery::AskFloor { from } => {
                     let head = node.state.floor_reply();
-                    let answer = Event::FloorAnswer { peer_addr: peer(to), head };
+                    let answer = match head {
+                        Some(_) => Event::FloorAnswer { peer_addr: peer(to), head },
+                        None => Event::FloorUnknown(peer(to)),
+                    };
                     self.enqueue(from, 3, Delivery::Event(answer));
                 }
                 Delivery::AskBody { from, head } => {
