Retry after failed connections without budget, on new connections

Ruled out: claims (bookings were unaffected), and the time in which pings find the silence (every call had a second of its deadline left).

Change: a retry after a failed connection, or a target that is gone, costs no budget and may take a target that was tried, because its connection has been replaced; at most 3 attempts as before. `CallHead::new_connection` makes bookings, uploads and second attempts open a new connection to the target (1 ms), which closes the oldest idle one; a call without an answer on an idle connection closes the others. Streams that a peer reset count as a failure of the target in `ibis_refusals_total`.

A booking on a connection that goes silent is still told "may have run", as nothing proves the opposite.

--- a/crates/ibisroute/src/traffic/ingress.rs
+++ b/crates/ibisroute/src/traffic/ingress.rs
@@ -272,18 +272,23 @@
         };
         let class = self.entry.class;
         let safe = may_send_again(class, outcome, self.source.state(), transient) && !retried;
-        safe.then(|| self.choose_next(tried)).flatten()
+        let connection = matches!(attempted, Attempted::Refusal(r) if r.is_of_connection());
+        safe.then(|| self.choose_next(tried, connection)).flatten()
     }
 
-    fn choose_next(&self, tried: &[InstanceId]) -> Option<Attempt> {
+    /// Chooses another target. A retry after a failed connection costs no budget: the budget limits
+    /// work that targets do twice, and all calls of a connection fail together.
+    fn choose_next(&self, tried: &[InstanceId], connection: bool) -> Option<Attempt> {
         let class = self.entry.class;
         if tried.len() >= self.worker.shared.settings.max_attempts
             || Instant::now() >= self.deadline
         {
             return None;
         }
-        let next = self.worker.choose(self.entry, self.id, tried)?;
-        let paid = !class.is_repeatable() || self.worker.take_retry(self.entry);
+        let choose = |tried: &[InstanceId]| self.worker.choose(self.entry, self.id, tried);
+        // Connections to all targets may fail together; the client has replaced them by now.
+        let next = choose(tried).or_else(|| connection.then(|| choose(&[])).flatten())?;
+        let paid = connection || !class.is_repeatable() || self.worker.take_retry(self.entry);
         paid.then_some(next)
     }
 
@@ -317,6 +322,9 @@
             path: self.path.to_string(),
             headers: request::end_to_end_headers(self.req),
             body_bytes: self.source.len(),
+            // A call that cannot be sent again must not meet a connection that went silent while it
+            // was idle, and a second attempt must not meet another one.
+            new_connection: tried.len() > 1 || !self.entry.class.is_repeatable(),
         };
         let endpoint = attempt.endpoint.clone();
         let mut sending = std::pin::pin!(self.send_held(&endpoint, head, body));
@@ -324,7 +332,7 @@
             if let Ok(sent) = timeout_at(early.into(), &mut sending).await {
                 return (self.attempted(attempt, Some(sent)), None);
             }
-            if let Some(next) = self.choose_next(tried) {
+            if let Some(next) = self.choose_next(tried, false) {
                 attempt.finish(AttemptEnd::Failed, None);
                 return (
                     Attempted::Refusal(self.failure("slow", "no answer yet".to_string())),
@@ -347,7 +355,7 @@
             }
             Some(Err(CallError::Reset(e))) => {
                 attempt.finish(AttemptEnd::Failed, None);
-                return Attempted::Refusal(self.failure("peer", e.to_string()));
+                return Attempted::Refusal(self.failure("target", e.to_string()));
             }
             Some(Err(CallError::Failed(e))) => {
                 attempt.finish(AttemptEnd::Broken, None);
--- a/crates/ibisroute/src/traffic/refusal.rs
+++ b/crates/ibisroute/src/traffic/refusal.rs
@@ -67,6 +67,11 @@
         Self::not_run(status, kind, reason.to_string())
     }
 
+    /// Whether a connection failed, or led to a node or target that is gone.
+    pub(super) fn is_of_connection(&self) -> bool {
+        matches!(self.kind, "peer" | "unreachable" | "leaving")
+    }
+
     /// The HTTP response.
     pub fn response(&self, id: &RequestId, retried: bool) -> HttpResponse {
         metrics::counter!("ibis_refusals_total", "reason" => self.kind).increment(1);
--- a/crates/ibisroute/src/traffic/target_client.rs
+++ b/crates/ibisroute/src/traffic/target_client.rs
@@ -163,7 +163,9 @@
             .map_err(|e| failure(e.to_string()))?;
         let method =
             Method::from_bytes(head.method.as_bytes()).map_err(|e| failure(e.to_string()))?;
-        let lane = self.idle.borrow_mut().pop().unwrap_or_else(|| self.open_lane());
+        let idle = self.take_idle(head.new_connection);
+        let mut unanswered = Unanswered { client: self, armed: idle.is_some() };
+        let lane = idle.unwrap_or_else(|| self.open_lane());
         lane.watch.written.set(false);
         lane.watch.closed.set(false);
         let mut request = lane.client.request(method.clone(), uri);
@@ -192,6 +194,7 @@
         })
         .await
         .map_err(|e| SendFailure { written: watch.written.get(), reason: e.to_string() })?;
+        unanswered.armed = false;
         Ok(self.answer(&method, response, lane))
     }
 
@@ -226,6 +229,19 @@
         TargetAnswer { status, headers, body_bytes, body }
     }
 
+    /// An idle connection for a call that may use one. For any other call the oldest one is closed, so
+    /// that the new connection does not add to those that the target has.
+    fn take_idle(&self, new_connection: bool) -> Option<Lane> {
+        let mut idle = self.idle.borrow_mut();
+        if !new_connection {
+            return idle.pop();
+        }
+        if !idle.is_empty() {
+            idle.remove(0);
+        }
+        None
+    }
+
     fn open_lane(&self) -> Lane {
         let watch = Rc::new(Watch::default());
         let address = self.address;
@@ -255,6 +271,21 @@
     }
 }
 
+/// Closes the idle connections when a call on one of them gets no answer: if it went silent, the others
+/// probably did too.
+struct Unanswered<'a> {
+    client: &'a TargetClient,
+    armed: bool,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if self.armed {
+            self.client.idle.borrow_mut().clear();
+        }
+    }
+}
+
 fn is_bodyless(method: &Method) -> bool {
     matches!(*method, Method::GET | Method::HEAD | Method::DELETE | Method::OPTIONS)
 }
--- a/crates/ibisroute/src/wire.rs
+++ b/crates/ibisroute/src/wire.rs
@@ -359,6 +359,8 @@
     pub headers: Vec<(SmolStr, Vec<u8>)>,
     /// Length of the body when it is known.
     pub body_bytes: Option<u64>,
+    /// Whether the call must not take an idle connection to the target, which may be silent.
+    pub new_connection: bool,
 }
 
 /// Head of an answer on a peer stream; the raw body follows an [`ReplyHead::Answer`].
