Measure fleets with the target's catalogue in bench control

Cause: the bench applied JSON with sorted keys, which nodes reject because it is not canonical, so no run got past its first version. It polled the nodes for their version, and its catalogue had one service.

Each node has a target. Charts show several lines with a legend; the chart test counts the marks and names.

--- a/crates/standins/src/bin/bench/added_latency.rs
+++ b/crates/standins/src/bin/bench/added_latency.rs
@@ -31,7 +31,8 @@
     addr: SocketAddr,
     tally: Tally,
     elapsed: Duration,
-    processor: Duration,
+    /// Of the node beside the target and of the far node.
+    processor: [Duration; 2],
 }
 
 impl Way {
@@ -41,7 +42,7 @@
             addr,
             tally: Tally::default(),
             elapsed: Duration::ZERO,
-            processor: Duration::ZERO,
+            processor: [Duration::ZERO; 2],
         }
     }
 
@@ -64,15 +65,19 @@
             "ratio_p50": p50 / direct_p50.max(1.0),
             "ratio_p99": p99 / direct_p99.max(1.0),
             "calls_per_s": self.tally.ok as f64 / self.elapsed.as_secs_f64().max(0.001),
-            "node_processor_us_per_call": self.processor.as_micros() as f64 / calls,
+            "near_processor_us_per_call": self.processor[0].as_micros() as f64 / calls,
+            "far_processor_us_per_call": self.processor[1].as_micros() as f64 / calls,
         })
     }
 }
 
-/// Processor time of all nodes.
-fn processor(cluster: &Cluster) -> eyre::Result<Duration> {
-    let ids = cluster.nodes().iter().filter_map(|node| node.process_id());
-    ids.map(|id| Ok(measure::usage(id)?.processor)).sum()
+/// Processor time of the node beside the target and of the far node.
+fn processor(cluster: &Cluster) -> eyre::Result<[Duration; 2]> {
+    let of = |index: usize| -> eyre::Result<Duration> {
+        let id = cluster.node(index).process_id().ok_or_eyre("a node is down")?;
+        Ok(measure::usage(id)?.processor)
+    };
+    Ok([of(0)?, of(1)?])
 }
 
 pub(crate) fn run(ibisrouted: &Path, matches: &ArgMatches) -> eyre::Result<Value> {
@@ -90,8 +95,8 @@
         ..TargetOptions::default()
     };
     let target = cluster.start_target(0, options)?.addr();
-    let version = cluster.apply(&catalogue("bench"))?;
-    cluster.wait_version(version, START_BOUND)?;
+    let accepted = catalogue::accept(&cluster, catalogue::bytes(0)?)?;
+    cluster.wait_version(accepted.version, START_BOUND)?;
     cluster.wait_ready(START_BOUND)?;
     let caller_of = |node: usize| cluster.node(node).addresses().map(|addresses| addresses.caller);
     let mut ways = [
@@ -114,19 +119,24 @@
                 .is_ok_and(|summary| summary.total().failed() == 0)
         })?;
     }
+    let load_before = crate::load_average();
     for round in 0..rounds {
         for way in &mut ways {
             let before = processor(&cluster)?;
             let summary = CallerStandin::run(options(way.addr, calls, seed + round))?;
-            way.processor += processor(&cluster)?.saturating_sub(before);
+            let after = processor(&cluster)?;
+            for (index, spent) in way.processor.iter_mut().enumerate() {
+                *spent += after[index].saturating_sub(before[index]);
+            }
             way.elapsed += Duration::from_millis(summary.elapsed_ms);
             way.tally.merge(&summary.total());
         }
     }
     let direct = ways.first().ok_or_eyre("there is no way")?;
     let results: Vec<Value> = ways.iter().map(|way| way.result(direct)).collect();
+    println!("load average {load_before} before, {} after", crate::load_average());
     println!(
-        "{:<10} {:>8} {:>7} {:>9} {:>9} {:>10} {:>10} {:>7} {:>7} {:>9} {:>11}",
+        "{:<10} {:>8} {:>7} {:>9} {:>9} {:>10} {:>10} {:>7} {:>7} {:>9} {:>12} {:>12}",
         "way",
         "calls",
         "failed",
@@ -137,12 +147,14 @@
         "x p50",
         "x p99",
         "calls/s",
-        "cpu us/call"
+        "near us/call",
+        "far us/call"
     );
     for result in &results {
         let f = |name: &str| result[name].as_f64().unwrap_or_default();
         println!(
-            "{:<10} {:>8} {:>7} {:>9.0} {:>9.0} {:>10.0} {:>10.0} {:>7.2} {:>7.2} {:>9.0} {:>11.1}",
+            "{:<10} {:>8} {:>7} {:>9.0} {:>9.0} {:>10.0} {:>10.0} {:>7.2} {:>7.2} {:>9.0} {:>12.1} \
+             {:>12.1}",
             result["way"].as_str().unwrap_or_default(),
             f("calls"),
             f("failed"),
@@ -153,9 +165,11 @@
             f("ratio_p50"),
             f("ratio_p99"),
             f("calls_per_s"),
-            f("node_processor_us_per_call"),
+            f("near_processor_us_per_call"),
+            f("far_processor_us_per_call"),
         );
     }
     Ok(json!({"bench": "added-latency", "rounds": rounds, "calls": calls,
-              "concurrency": concurrency, "seed": seed, "ways": results}))
+              "concurrency": concurrency, "seed": seed, "ways": results,
+              "load_before": load_before, "load_after": crate::load_average()}))
 }
--- a/crates/standins/src/bin/bench/main.rs
+++ b/crates/standins/src/bin/bench/main.rs
@@ -2,9 +2,11 @@
 //! the configuration changes. Runs real node processes on loopback.
 
 mod added_latency;
+mod catalogue;
 mod control;
+mod polling;
+mod summary;
 
-use std::path::Path;
 use std::path::PathBuf;
 
 use clap::Arg;
@@ -13,7 +15,6 @@
 use clap::value_parser;
 use eyre::WrapErr;
 use serde_json::Value;
-use serde_json::json;
 
 /// Name of the service that the bench calls.
 pub(crate) const SERVICE: &str = "counter";
@@ -54,9 +55,25 @@
                         .value_parser(value_parser!(u8).range(1..=250))
                         .help("Numbers of nodes"),
                 )
-                .arg(number("window-s", "10", "Length of the idle measurement"))
+                .arg(number("targets", "1", "Targets beside each node, 0 or 1"))
+                .arg(number("repeats", "1", "Rounds over all numbers of nodes"))
+                .arg(number("settle-s", "6", "Wait between the start and the idle measurement"))
+                .arg(number("window-s", "8", "Length of the idle measurement"))
                 .arg(number("changes", "10", "Versions applied for the convergence time"))
-                .arg(file("svg", "Writes the chart to this file")),
+                .arg(file("plots", "Writes the charts to this folder")),
+        )
+        .subcommand(
+            Command::new("summary")
+                .about("Spread and slopes over stored results of `control`")
+                .arg(
+                    Arg::new("from")
+                        .long("from")
+                        .required(true)
+                        .value_delimiter(',')
+                        .value_parser(value_parser!(PathBuf))
+                        .help("Files written by `control --json`"),
+                )
+                .arg(file("plots", "Writes the charts to this folder")),
         )
 }
 
@@ -66,25 +83,14 @@
     value.ok_or_else(|| eyre::eyre!("--{name} is missing"))
 }
 
-/// A catalogue with one service and one entry whose limits never bind. `name` makes versions differ.
-pub(crate) fn catalogue(name: &str) -> Value {
-    json!({
-        "format": 1,
-        "name": name,
-        "services": [{"name": SERVICE, "owner": "bench@kuiseb.example", "version": "v1",
-                      "report_url": null, "withdrawal": "balanced"}],
-        "entries": [{"name": "sheet-search", "owner": "bench@kuiseb.example",
-                     "class": "counter_query", "service": SERVICE, "path": PATH,
-                     "methods": ["GET"],
-                     "limits": {"rate_per_s": 100_000, "concurrency": 1000, "deadline_ms": 2000,
-                                "retry_percent": 10, "max_body_bytes": 65_536},
-                     "objective": {"success_percent": 99.9, "latency_ms": 250}}],
-        "moves": [],
-    })
+/// The load averages of the machine over 1, 5 and 15 minutes.
+pub(crate) fn load_average() -> String {
+    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split_whitespace().take(3).collect::<Vec<_>>().join(" ")
 }
 
 /// Writes a result when a file is named.
-fn write_json(path: Option<&PathBuf>, result: &Value) -> eyre::Result<()> {
+pub(crate) fn write_json(path: Option<&PathBuf>, result: &Value) -> eyre::Result<()> {
     let Some(path) = path else { return Ok(()) };
     std::fs::write(path, serde_json::to_vec_pretty(result)?)
         .wrap_err_with(|| format!("write {}", path.display()))
@@ -93,10 +99,11 @@
 fn main() -> eyre::Result<()> {
     let matches = command().get_matches();
     let folder = matches.get_one::<PathBuf>("bin-dir").map(PathBuf::as_path);
-    let ibisrouted: &Path = &standins::programs::binary(folder, "ibisrouted")?;
+    let ibisrouted = || standins::programs::binary(folder, "ibisrouted");
     let (result, sub) = match matches.subcommand() {
-        Some(("added-latency", sub)) => (added_latency::run(ibisrouted, sub)?, sub),
-        Some(("control", sub)) => (control::run(ibisrouted, sub)?, sub),
+        Some(("added-latency", sub)) => (added_latency::run(&ibisrouted()?, sub)?, sub),
+        Some(("control", sub)) => (control::run(&ibisrouted()?, sub)?, sub),
+        Some(("summary", sub)) => (summary::run(sub)?, sub),
         _ => eyre::bail!("no such subcommand"),
     };
     write_json(sub.get_one::<PathBuf>("json"), &result)
--- a/crates/standins/src/chart.rs
+++ b/crates/standins/src/chart.rs
@@ -7,18 +7,21 @@
 use plotters::prelude::IntoDrawingArea;
 use plotters::prelude::LineSeries;
 use plotters::prelude::SVGBackend;
+use plotters::prelude::SeriesLabelPosition;
+use plotters::style::BLACK;
 use plotters::style::BLUE;
 use plotters::style::Color;
+use plotters::style::GREEN;
+use plotters::style::MAGENTA;
 use plotters::style::RED;
 use plotters::style::WHITE;
 
-/// Draws points and the line through them, from the origin, with the names of both axes.
-pub fn draw(
-    path: &Path,
-    caption: &str,
-    axes: (&str, &str),
-    points: &[(f64, f64)],
-) -> eyre::Result<()> {
+/// A named line of a chart.
+pub type Series = (String, Vec<(f64, f64)>);
+
+/// Draws named lines with their points, from the origin, with the names of both axes.
+pub fn draw(path: &Path, caption: &str, axes: (&str, &str), series: &[Series]) -> eyre::Result<()> {
+    let points: Vec<(f64, f64)> = series.iter().flat_map(|s| s.1.iter().copied()).collect();
     let most_x = points.iter().map(|point| point.0).fold(1.0, f64::max);
     let most_y = points.iter().map(|point| point.1).fold(1.0, f64::max);
     let area = SVGBackend::new(path, (800, 500)).into_drawing_area();
@@ -30,8 +33,19 @@
         .y_label_area_size(70)
         .build_cartesian_2d(0.0..most_x * 1.05, 0.0..most_y * 1.2)?;
     chart.configure_mesh().x_desc(axes.0).y_desc(axes.1).draw()?;
-    chart.draw_series(LineSeries::new(points.iter().copied(), &BLUE))?;
-    chart.draw_series(points.iter().map(|point| Circle::new(*point, 4, RED.filled())))?;
+    for ((name, points), colour) in series.iter().zip([BLUE, RED, GREEN, MAGENTA].iter().cycle()) {
+        chart
+            .draw_series(LineSeries::new(points.iter().copied(), colour))?
+            .label(name)
+            .legend(|(x, y)| Circle::new((x + 10, y), 4, colour.filled()));
+        chart.draw_series(points.iter().map(|p| Circle::new(*p, 4, colour.filled())))?;
+    }
+    chart
+        .configure_series_labels()
+        .position(SeriesLabelPosition::UpperLeft)
+        .background_style(WHITE)
+        .border_style(BLACK)
+        .draw()?;
     area.present()?;
     Ok(())
 }
--- a/crates/standins/tests/measure_numbers.rs
+++ b/crates/standins/tests/measure_numbers.rs
@@ -37,14 +37,21 @@
     assert_eq!(measure::slope(&[(8.0, 1.0)]), 0.0);
 }
 
-/// Guards against a chart that misses its points.
+/// Guards against a chart that misses its points or the name of a line.
 #[test]
 fn charts_show_points() {
     let path = std::env::temp_dir().join(format!("standins-chart-{}.svg", std::process::id()));
-    let drawn = chart::draw(&path, "bytes", ("nodes", "bytes/s"), &[(8.0, 900.0), (16.0, 950.0)]);
+    let series = [
+        ("first".to_string(), vec![(8.0, 900.0), (16.0, 950.0)]),
+        ("second".to_string(), vec![(8.0, 90.0)]),
+    ];
+    let drawn = chart::draw(&path, "bytes", ("nodes", "bytes/s"), &series);
     let svg = std::fs::read_to_string(&path).unwrap_or_default();
     let _ = std::fs::remove_file(&path);
     drawn.expect("a chart");
-    assert_eq!(svg.matches("<circle").count(), 2);
-    assert!(svg.contains("bytes/s"));
+    // Three points and one mark for each line in the legend.
+    assert_eq!(svg.matches("<circle").count(), 5);
+    for text in ["bytes/s", "first", "second"] {
+        assert!(svg.contains(text), "the chart does not show {text}");
+    }
 }
