--- a/crates/standins/src/bin/bench/main.rs
+++ b/crates/standins/src/bin/bench/main.rs
@@ -4,12 +4,9 @@
 mod added_latency;
 mod catalogue;
 mod control;
-<<<<<<< HEAD
 mod overload;
-=======
 mod polling;
 mod summary;
->>>>>>> bench
 
 use std::path::PathBuf;
 
@@ -120,18 +117,13 @@
     let folder = matches.get_one::<PathBuf>("bin-dir").map(PathBuf::as_path);
     let ibisrouted = || standins::programs::binary(folder, "ibisrouted");
     let (result, sub) = match matches.subcommand() {
-<<<<<<< HEAD
-        Some(("added-latency", sub)) => (added_latency::run(ibisrouted, sub)?, sub),
-        Some(("control", sub)) => (control::run(ibisrouted, sub)?, sub),
+        Some(("added-latency", sub)) => (added_latency::run(&ibisrouted()?, sub)?, sub),
+        Some(("control", sub)) => (control::run(&ibisrouted()?, sub)?, sub),
         Some(("overload", sub)) => {
             let ibisctl = standins::programs::binary(folder, "ibisctl")?;
-            (overload::run(ibisrouted, &ibisctl, sub)?, sub)
+            (overload::run(&ibisrouted()?, &ibisctl, sub)?, sub)
         }
-=======
-        Some(("added-latency", sub)) => (added_latency::run(&ibisrouted()?, sub)?, sub),
-        Some(("control", sub)) => (control::run(&ibisrouted()?, sub)?, sub),
         Some(("summary", sub)) => (summary::run(sub)?, sub),
->>>>>>> bench
         _ => eyre::bail!("no such subcommand"),
     };
     write_json(sub.get_one::<PathBuf>("json"), &result)
