--- a/crates/standins/src/bin/bench/main.rs
+++ b/crates/standins/src/bin/bench/main.rs
@@ -99,12 +99,6 @@
     text.split_whitespace().take(3).collect::<Vec<_>>().join(" ")
 }
 
-/// The load averages of the machine over 1, 5 and 15 minutes.
-pub(crate) fn load_average() -> String {
-    let text = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
-    text.split_whitespace().take(3).collect::<Vec<_>>().join(" ")
-}
-
 /// Writes a result when a file is named.
 pub(crate) fn write_json(path: Option<&PathBuf>, result: &Value) -> eyre::Result<()> {
     let Some(path) = path else { return Ok(()) };
--- a/crates/standins/src/bin/bench/overload.rs
+++ b/crates/standins/src/bin/bench/overload.rs
@@ -313,13 +313,17 @@
         }
     }
     if let Some(folder) = matches.get_one::<PathBuf>("plots") {
-        let points: Vec<(f64, f64)> = rows
-            .iter()
-            .filter(|row| row["way"] == "nodes" && row["fault"] == Fault::None.name())
-            .filter_map(|row| Some((row["load"].as_f64()?, row["goodput_per_s"].as_f64()?)))
-            .collect();
+        let line = |way: &str| {
+            let rows = rows.iter().filter(|row| row["way"] == way);
+            let rows = rows.filter(|row| row["fault"] == Fault::None.name());
+            let points: Vec<(f64, f64)> = rows
+                .filter_map(|row| Some((row["load"].as_f64()?, row["goodput_per_s"].as_f64()?)))
+                .collect();
+            (way.to_string(), points)
+        };
+        let lines = [line("nodes"), line("random target, no node")];
         let axes = ("offered load / capacity of the slots", "timely answers a second");
-        chart::draw(&folder.join("goodput.svg"), "Goodput under overload", axes, &points)?;
+        chart::draw(&folder.join("goodput.svg"), "Goodput under overload", axes, &lines)?;
     }
     Ok(json!({"capacity_per_s": capacity, "seconds": seconds, "seed": seed,
         "load_average": [load_before, crate::load_average()], "rows": rows}))
