Share one clock among the drivers

Cause: five actors kept a start time and computed the time since it in the same lines. Conclusion: one place to pass time from.

--- a/crates/ibisroute/src/claims/actor.rs
+++ b/crates/ibisroute/src/claims/actor.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
 
 use actix::Actor;
 use actix::ActorFutureExt;
@@ -22,6 +21,7 @@
 use super::state::Event;
 use super::state::Ticket;
 use super::state::shard_of;
+use crate::clock::Clock;
 use crate::events;
 use crate::membership::record::MemberView;
 use crate::node::messages::MembersChanged;
@@ -94,7 +94,7 @@
     members: Option<Arc<MemberView>>,
     replies: BTreeMap<Ticket, oneshot::Sender<ClaimReply>>,
     next_ticket: Ticket,
-    started: Instant,
+    clock: Clock,
 }
 
 impl ClaimsActor {
@@ -112,14 +112,10 @@
             members: None,
             replies: BTreeMap::new(),
             next_ticket: 0,
-            started: Instant::now(),
+            clock: Clock::start(),
         }
     }
 
-    fn now(&self) -> Millis {
-        Millis::from(self.started.elapsed())
-    }
-
     /// Address of the owner of a claim row, when it is another node.
     fn remote_owner(&self, row: &str) -> Option<SocketAddr> {
         let members = self.members.as_ref()?;
@@ -129,7 +125,7 @@
     }
 
     fn step(&mut self, event: Event, cx: &mut Context<Self>) {
-        let actions = self.state.step(self.now(), event);
+        let actions = self.state.step(self.clock.now(), event);
         actions.into_iter().for_each(|action| self.perform(action, cx));
     }
 
--- a/crates/ibisroute/src/lib.rs
+++ b/crates/ibisroute/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod catalogue;
 pub mod claims;
+pub mod clock;
 pub mod ctl;
 pub mod distribution;
 pub mod events;
--- a/crates/ibisroute/src/node/targets.rs
+++ b/crates/ibisroute/src/node/targets.rs
@@ -1,7 +1,6 @@
 //! Drives the life cycle of the targets beside this node.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
 
 use actix::Actor;
 use actix::ActorFutureExt;
@@ -19,6 +18,7 @@
 use super::handle::LeaveReply;
 use super::handle::TargetAnnouncement;
 use super::messages::LocalTargets;
+use crate::clock::Clock;
 use crate::events;
 use crate::membership::membership_settings::MembershipSettings;
 use crate::membership::record::TargetRecord;
@@ -90,7 +90,7 @@
     /// Targets that asked to leave, with the time; kept so that a repeated request is answered.
     left: BTreeMap<InstanceId, Millis>,
     client: awc::Client,
-    started: Instant,
+    clock: Clock,
 }
 
 impl TargetsActor {
@@ -111,16 +111,12 @@
             membership,
             left: BTreeMap::new(),
             client: awc::Client::builder().timeout(timeout).finish(),
-            started: Instant::now(),
+            clock: Clock::start(),
         }
     }
 
-    fn now(&self) -> Millis {
-        Millis::from(self.started.elapsed())
-    }
-
     fn step(&mut self, event: TargetEvent) {
-        let now = self.now();
+        let now = self.clock.now();
         for action in self.table.step(now, event) {
             match action {
                 TargetAction::Changed(records) => self.membership.do_send(LocalTargets(records)),
@@ -199,7 +195,7 @@
 
     fn handle(&mut self, message: Leave, _cx: &mut Self::Context) {
         let Leave { instance, reply } = message;
-        let now = self.now();
+        let now = self.clock.now();
         self.left.retain(|_, since| now.since(*since) < LEFT_KEPT);
         if self.table.get(&instance).is_some() {
             self.left.entry(instance.clone()).or_insert(now);
--- a/crates/ibisroute/src/node/view.rs
+++ b/crates/ibisroute/src/node/view.rs
@@ -1,7 +1,6 @@
 //! Combines configuration, endpoints and moves into the snapshot that traffic threads read.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use actix::Actor;
 use actix::AsyncContext;
@@ -13,6 +12,7 @@
 use super::messages::ConfigurationApplied;
 use super::messages::MembersChanged;
 use super::messages::MovesChanged;
+use crate::clock::Clock;
 use crate::events;
 use crate::membership::endpoints::SeenTargets;
 use crate::membership::endpoints::endpoint_view;
@@ -36,7 +36,7 @@
     seen: SeenTargets,
     /// How long a lost target counts for the division of limits.
     keep: Millis,
-    started: Instant,
+    clock: Clock,
 }
 
 impl ViewActor {
@@ -48,7 +48,7 @@
             members: None,
             seen: SeenTargets::default(),
             keep,
-            started: Instant::now(),
+            clock: Clock::start(),
         }
     }
 
@@ -58,7 +58,7 @@
 
     fn update_endpoints(&mut self) {
         let Some(members) = &self.members else { return };
-        let now = Millis::from(self.started.elapsed());
+        let now = self.clock.now();
         self.seen.observe(now, members, self.keep);
         let view = endpoint_view(members, &self.seen);
         if view == *self.current.endpoints {
--- a/crates/ibisroute/src/report/actor.rs
+++ b/crates/ibisroute/src/report/actor.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use actix::Actor;
 use actix::AsyncContext;
@@ -12,6 +11,7 @@
 use actix::Message;
 use actix::MessageResult;
 
+use crate::clock::Clock;
 use crate::events;
 use crate::events::report as codes;
 use crate::node::messages::ConfigurationApplied;
@@ -22,7 +22,6 @@
 use crate::report::report_settings::ReportSettings;
 use crate::snapshot::CompiledCatalogue;
 use crate::types::EntryName;
-use crate::types::Millis;
 
 /// Asks for the burn of this node.
 #[derive(Clone, Copy, Debug, Message)]
@@ -31,7 +30,7 @@
 
 /// Actor of the control thread.
 pub struct BurnActor {
-    started: Instant,
+    clock: Clock,
     meter: BurnMeter,
     config: Option<Arc<CompiledCatalogue>>,
     alerts: BTreeSet<EntryName>,
@@ -41,7 +40,7 @@
     /// An actor without counts.
     pub fn new(settings: ReportSettings) -> Self {
         Self {
-            started: Instant::now(),
+            clock: Clock::start(),
             meter: BurnMeter::new(settings),
             config: None,
             alerts: BTreeSet::new(),
@@ -50,7 +49,7 @@
 
     fn report(&mut self) -> BurnReport {
         let Some(config) = &self.config else { return BurnReport::default() };
-        self.meter.report(Millis::from(self.started.elapsed()), config)
+        self.meter.report(self.clock.now(), config)
     }
 
     fn check_alerts(&mut self) {
@@ -89,7 +88,7 @@
 
     fn handle(&mut self, msg: CountsCollected, _: &mut Context<Self>) {
         let Some(config) = &self.config else { return };
-        self.meter.add(Millis::from(self.started.elapsed()), &msg.0, config);
+        self.meter.add(self.clock.now(), &msg.0, config);
     }
 }
 
--- a/crates/ibisroute/src/uploads/actor.rs
+++ b/crates/ibisroute/src/uploads/actor.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
 
 use actix::Actor;
 use actix::ActorFutureExt;
@@ -24,6 +23,7 @@
 use super::store::StoreError;
 use super::store::store;
 use super::upload_settings::UploadSettings;
+use crate::clock::Clock;
 use crate::events;
 use crate::membership::record::MemberView;
 use crate::node::messages::MembersChanged;
@@ -61,7 +61,7 @@
     deliveries: Deliveries,
     storing: usize,
     scanning: bool,
-    started: Instant,
+    clock: Clock,
 }
 
 impl UploadsActor {
@@ -75,14 +75,10 @@
             deliveries: Deliveries::default(),
             storing: 0,
             scanning: false,
-            started: Instant::now(),
+            clock: Clock::start(),
         }
     }
 
-    fn now(&self) -> Millis {
-        Millis::from(self.started.elapsed())
-    }
-
     /// Whether this node delivers stored uploads. Two nodes that both believe so deliver twice,
     /// which the upload's id lets the target recognise.
     fn delivers(&self) -> bool {
@@ -106,7 +102,7 @@
 
     fn deliver(&mut self, rows: Vec<Row>, cx: &mut Context<Self>) {
         let keys: Vec<SmolStr> = rows.iter().map(|r| r.key.clone()).collect();
-        let chosen = self.deliveries.start(self.now(), &keys, &self.cfg);
+        let chosen = self.deliveries.start(self.clock.now(), &keys, &self.cfg);
         for row in rows.into_iter().filter(|r| chosen.contains(&r.key)) {
             let key = row.key.clone();
             let delivery = deliver_row(
@@ -116,7 +112,7 @@
                 Millis(self.cfg.delivery_deadline_ms),
             );
             cx.spawn(delivery.into_actor(self).map(move |delivered, act, _| {
-                let now = act.now();
+                let now = act.clock.now();
                 act.deliveries.finish(now, &key, delivered.is_ok(), &act.cfg);
                 match delivered {
                     Ok(()) => events::emit(&events::uploads::DELIVERED, format_args!("{key}")),
