--- /dev/null
+++ b/crates/ibisroute/tests/malformed_input.rs
@@ -0,0 +1,173 @@
+//! Malformed input at every port gets a clear refusal and never ends the node.
+
+mod common;
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::net::UdpSocket;
+
+use common::cluster;
+use common::cluster::SOON;
+use common::fixed_quickcheck;
+use standins::harness::Cluster;
+use standins::harness::NodeAddresses;
+use standins::http::Request;
+
+fn one_node() -> Cluster {
+    let mut cluster =
+        cluster::builder().data_centre("erongo-1", "erongo", 1).start().expect("a node starts");
+    cluster::start_serving(&mut cluster);
+    cluster
+}
+
+fn addresses(cluster: &Cluster) -> NodeAddresses {
+    cluster.node(0).addresses().expect("the node has started")
+}
+
+/// Sends bytes, closes the sending side and reads to the end; a reset counts as the end.
+fn exchange(addr: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut io = TcpStream::connect(addr).expect("connection");
+    io.set_read_timeout(Some(SOON)).expect("timeout");
+    let mut got = Vec::new();
+    // The node may refuse and close before it has read everything.
+    let _ = io.write_all(bytes);
+    let _ = io.shutdown(std::net::Shutdown::Write);
+    let _ = io.read_to_end(&mut got);
+    got
+}
+
+fn status(response: &[u8]) -> Option<u16> {
+    let text = String::from_utf8_lossy(response);
+    text.strip_prefix("HTTP/1.1 ")?.get(..3)?.parse().ok()
+}
+
+/// The same process still answers calls well.
+fn assert_serves(cluster: &Cluster, process: Option<u32>) {
+    let caller = addresses(cluster).caller;
+    let answer = Request::new("GET", format!("http://{caller}/counter/sheets")).send();
+    assert_eq!(answer.expect("the node answers").status, 200);
+    assert!(cluster.node(0).is_ready());
+    assert_eq!(cluster.node(0).process_id(), process, "the node was started anew");
+    let panicked = cluster.node(0).log().into_iter().find(|line| line.contains("panicked"));
+    assert_eq!(panicked, None);
+}
+
+/// Guards against a listener that accepts, hangs on or dies from bad HTTP.
+#[test]
+fn bad_http() {
+    let cluster = one_node();
+    let process = cluster.node(0).process_id();
+    let nodes = addresses(&cluster);
+    let huge = format!("GET / HTTP/1.1\r\nhost: x\r\nx-long: {}\r\n\r\n", "a".repeat(1 << 20));
+    let many = format!("GET / HTTP/1.1\r\nhost: x\r\n{}\r\n", "x-a: b\r\n".repeat(10_000));
+    let bad: [&[u8]; 7] = [
+        b"\0\0\0\0\r\n\r\n",
+        b"GET\r\n\r\n",
+        b"GET / HTTP/9.9\r\n\r\n",
+        b"GET / HTTP/1.1\r\nbad header\r\n\r\n",
+        b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: -1\r\n\r\n",
+        huge.as_bytes(),
+        many.as_bytes(),
+    ];
+    for addr in [nodes.caller, nodes.admin, nodes.targets] {
+        for bytes in bad {
+            let got = exchange(addr, bytes);
+            let refused = got.is_empty() || status(&got).is_some_and(|s| (400..500).contains(&s));
+            let shown = String::from_utf8_lossy(&got);
+            assert!(refused, "{:?} got {shown}", String::from_utf8_lossy(&bytes[..20]));
+        }
+    }
+    assert_serves(&cluster, process);
+}
+
+/// Guards against calls with malformed headers or bodies that are run, or refused without a proof.
+#[test]
+fn bad_calls() {
+    let cluster = one_node();
+    let process = cluster.node(0).process_id();
+    let caller = addresses(&cluster).caller;
+    let get = |name: &str, value: &str| {
+        let request = Request::new("GET", format!("http://{caller}/counter/sheets"));
+        request.header(name, value).send().expect("the node answers")
+    };
+    let order = |key: Option<&str>, body: usize| {
+        let request = Request::new("POST", format!("http://{caller}/counter/orders"));
+        let request = request.body(vec![b'x'; body]);
+        let request = match key {
+            Some(key) => request.header("idempotency-key", key),
+            None => request,
+        };
+        request.send().expect("the node answers")
+    };
+    for (answer, status) in [
+        (get("x-ibis-deadline-ms", "soon"), 400),
+        (get("x-ibis-deadline-ms", "-5"), 400),
+        (get("x-ibis-depth", "deep"), 400),
+        (order(None, 10), 400),
+        (order(Some(""), 10), 400),
+        (order(Some("k1"), 70_000), 413),
+    ] {
+        assert_eq!(answer.status, status, "{answer:?}");
+        assert_eq!(answer.header("x-ibis-outcome"), Some("not-run"), "{answer:?}");
+    }
+    assert!(common::load::records(&cluster).is_empty(), "a malformed call ran");
+    assert_serves(&cluster, process);
+}
+
+/// Guards against announcements and admin requests that are taken in part or end the node.
+#[test]
+fn bad_json() {
+    let cluster = one_node();
+    let process = cluster.node(0).process_id();
+    let targets = addresses(&cluster).targets;
+    let good = r#"{"service":"counter","version":"v1","instance":"x","address":"127.0.0.1:9","slots":1,"connections":1}"#;
+    let unknown_field = good.replacen('{', r#"{"colour":"red","#, 1);
+    let bad_name = good.replace("counter", "No Such Name");
+    let bad_address = good.replace("127.0.0.1:9", "nowhere");
+    for body in ["", "{", "[]", "null", "{\"service\":1}", &unknown_field, &bad_name, &bad_address]
+    {
+        for path in ["announce", "leave"] {
+            let request = Request::new("POST", format!("http://{targets}/targets/{path}"))
+                .header("content-type", "application/json")
+                .body(body.to_string());
+            let answer = request.send().expect("the node answers");
+            assert!((400..500).contains(&answer.status), "{path} {body}: {answer:?}");
+        }
+    }
+    let admin = addresses(&cluster).admin;
+    for path in ["/events?after=x", "/nothing"] {
+        let answer = standins::http::get(format!("http://{admin}{path}")).expect("an answer");
+        assert!((400..500).contains(&answer.status), "{path}: {answer:?}");
+    }
+    assert_serves(&cluster, process);
+}
+
+/// Guards against a node that dies from, or waits for ever on, truncated and corrupt frames of peers
+/// and datagrams.
+#[test]
+fn corrupt_frames() {
+    let cluster = one_node();
+    let process = cluster.node(0).process_id();
+    let nodes = addresses(&cluster);
+    let udp = UdpSocket::bind("127.0.0.1:0").expect("socket");
+    let preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+    fixed_quickcheck(60).quickcheck(Property(Box::new(move |bytes: Vec<u8>| {
+        let _ = udp.send_to(&bytes, nodes.control);
+        exchange(nodes.peer, &bytes);
+        exchange(nodes.peer, &[preface.as_slice(), &bytes].concat());
+        true
+    })));
+    assert_serves(&cluster, process);
+}
+
+/// A closure as a property, because `quickcheck` takes functions only.
+struct Property(Box<dyn Fn(Vec<u8>) -> bool>);
+
+impl quickcheck::Testable for Property {
+    fn result(&self, g: &mut quickcheck::Gen) -> quickcheck::TestResult {
+        let bytes = <Vec<u8> as quickcheck::Arbitrary>::arbitrary(g);
+        quickcheck::TestResult::from_bool((self.0)(bytes))
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/tests/overloaded_targets.rs
@@ -0,0 +1,139 @@
+//! Targets that are offered three times what they can do.
+
+mod common;
+
+use common::cluster;
+use common::cluster::SOON;
+use common::load;
+use serde_json::json;
+use standins::caller::CallSpec;
+use standins::caller::CallerOptions;
+use standins::caller::CallerStandin;
+use standins::caller::Class;
+use standins::caller::Outcome;
+use standins::harness::Cluster;
+use standins::target::TargetOptions;
+use standins::target::faults::TargetFaults;
+
+/// Slots of each target.
+const SLOTS: u32 = 4;
+
+/// Time that a target works on a call, in ms.
+const SERVICE_MS: u64 = 100;
+
+/// Deadline of queries and bookings, in ms.
+const DEADLINE_MS: u64 = 1000;
+
+/// Two nodes with a target beside each, both of the service of all classes.
+fn two_targets() -> Cluster {
+    // Stored uploads are delivered as fast as the targets can take them.
+    let delivery = json!({"scan_period_ms": 50, "retry_pause_ms": 50, "max_delivering": 16});
+    let mut cluster = cluster::builder()
+        .section("uploads", delivery)
+        .data_centre("erongo-1", "erongo", 2)
+        .start()
+        .expect("nodes start");
+    for node in 0..2 {
+        let options = TargetOptions {
+            instance: format!("c{node}"),
+            slots: SLOTS,
+            service_ms: (SERVICE_MS, SERVICE_MS),
+            ..TargetOptions::default()
+        };
+        cluster.start_target(node, options).expect("a target starts");
+    }
+    cluster::wait_ready_targets(&cluster, 2);
+    let mut document = cluster::catalogue();
+    for entry in document["entries"].as_array_mut().expect("entries").iter_mut() {
+        entry["service"] = "counter".into();
+    }
+    let version = cluster::apply(&cluster, &document);
+    cluster.wait_ready(SOON).expect("nodes serve");
+    cluster.wait_version(version, SOON).expect("the version is in effect");
+    cluster
+}
+
+/// Uploads alone are two and a half times the capacity, queries and bookings half of it.
+fn calls() -> Vec<CallSpec> {
+    let all = cluster::all_calls().into_iter();
+    let with_weight = |mut call: CallSpec| {
+        call.weight = match call.class {
+            Class::Booking => 1,
+            Class::CounterQuery => 2,
+            Class::InternalQuery => 0,
+            Class::Upload => 15,
+        };
+        call.deadline_ms = match call.class {
+            Class::Upload => 2000,
+            _ => DEADLINE_MS,
+        };
+        // Long bodies would make the callers the bottleneck.
+        call.body_bytes = call.body_bytes.min(2000);
+        call
+    };
+    all.map(with_weight).collect()
+}
+
+/// Guards against an overload in which uploads displace bookings and queries, a target gets more calls
+/// than it has slots, or refusals come late.
+#[test]
+fn uploads_shed_first() {
+    let cluster = two_targets();
+    let capacity = f64::from(2 * SLOTS) * 1000.0 / SERVICE_MS as f64;
+    println!("seed 91, capacity {capacity} calls a second");
+    let options = CallerOptions {
+        calls: calls(),
+        rate_per_s: Some(3.0 * capacity),
+        concurrency: 2000,
+        max_calls: Some(720),
+        threads: 4,
+        repeat_share: 0.2,
+        seed: 91,
+        grace_ms: 100,
+        ..cluster::mixed_calls(&cluster)
+    };
+    let summary = CallerStandin::run(options).expect("the caller runs");
+    for class in [Class::Booking, Class::CounterQuery, Class::Upload] {
+        let tally = summary.class(class);
+        println!("{class:?}: {} of {} ok, {} not-run", tally.ok, tally.calls, tally.not_run);
+    }
+    let counters: Vec<_> = cluster.targets().map(|(_, t)| t.counters()).collect();
+    for c in &counters {
+        assert!(c.shed == 0 && c.peak_in_flight <= SLOTS, "{counters:?}");
+    }
+    let ok_share = |class| {
+        let tally = summary.class(class);
+        tally.ok as f64 / tally.calls.max(1) as f64
+    };
+    assert!(ok_share(Class::Booking) >= 0.99, "{}", summary.to_json());
+    assert!(ok_share(Class::CounterQuery) >= 0.95, "{}", summary.to_json());
+    assert!(ok_share(Class::Upload) < 0.6, "there was no overload: {}", summary.to_json());
+    // Accepted uploads are stored and delivered when there is room.
+    load::assert_kept(&cluster, &summary, Vec::new());
+}
+
+/// Guards against calls that wait for a target which sheds by itself until their deadline, and
+/// bookings that are sent again after a target's own 503.
+#[test]
+fn targets_that_shed() {
+    let cluster = two_targets();
+    let options = load::only(&cluster, 92, &[Class::CounterQuery, Class::Booking]);
+    let mut options = load::with_deadline(options, DEADLINE_MS);
+    options.rate_per_s = Some(40.0);
+    let caller = CallerStandin::start(options).expect("the caller starts");
+    load::wait_calls(&caller, 40);
+    let (_, first) = cluster.targets().next().expect("a target");
+    let faults =
+        TargetFaults { failing_share: 0.5, fail_status: 503, seed: 92, ..Default::default() };
+    first.set_faults(faults);
+    load::wait_calls(&caller, 200);
+    let summary = caller.stop();
+    load::assert_kept(&cluster, &summary, Vec::new());
+    let queries = summary.class(Class::CounterQuery);
+    let failed = queries.failed();
+    println!("{failed} of {} queries failed", queries.calls);
+    // Half of the calls to one of two targets fail; the retry budget pays for ten in a hundred.
+    assert!(failed * 100 <= 15 * queries.calls, "{}", summary.to_json());
+    let unanswered = summary.log.iter().filter(|c| matches!(c.outcome, Outcome::NoAnswer(_)));
+    assert_eq!(unanswered.count(), 0, "{}", summary.to_json());
+}
