Refuse connections and calls that arrive while the listener stops

Three reasons: - connections in the backlog are reset when the listener closes; - the server drops connections that its threads have not yet taken; - the server closed idle connections in the moment that it began to refuse, so that calls met the close.

Ruled out: calls in flight (`calls_in_flight_end` never failed), and lost calls of peers (all unanswered calls ended within 15 ms of the stop of the node that they were sent to).

Change: a drain pauses the listener first, refuses calls on open connections with `Connection: close` for 500 ms, and answers connections that arrive meanwhile as "not run" (`traffic/late_callers.rs`) until the socket closes; those that wait at that moment are taken directly from the system.

A caller that reuses a connection in the very moment in which an idle one closes can still miss its answer, as HTTP/1.1 has no goodbye for idle connections.

--- a/crates/ibisroute/src/traffic/mod.rs
+++ b/crates/ibisroute/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 pub mod failure_run;
 pub mod headers;
 mod ingress;
+mod late_callers;
 pub mod refusal;
 mod request;
 mod response;
--- a/crates/ibisroute/src/traffic/threads.rs
+++ b/crates/ibisroute/src/traffic/threads.rs
@@ -1,10 +1,12 @@
 //! Start, drain and stop of the traffic threads.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::thread;
 use std::thread::JoinHandle;
+use std::time::Duration;
 use std::time::Instant;
 
 use actix_web::dev::ServerHandle;
@@ -20,6 +22,7 @@
 use super::dispatch::DispatchWork;
 use super::dispatch::Dispatcher;
 use super::ingress;
+use super::late_callers;
 use super::traffic_settings::TrafficSettings;
 use super::worker::InFlight;
 use super::worker::Shared;
@@ -33,6 +36,11 @@
 use crate::types::Millis;
 use crate::types::NodeId;
 
+/// Time in which calls on open connections are refused with `Connection: close` before the server
+/// stops. The server then closes connections that are idle, and drops those that its threads have not
+/// yet taken, which a caller in the middle of a request cannot tell from a call that ran.
+const LAST_REFUSALS: Duration = Duration::from_millis(500);
+
 /// What the traffic threads need.
 #[derive(Debug)]
 pub struct TrafficContext {
@@ -61,6 +69,10 @@
 pub struct TrafficThreads {
     dispatch: DispatchHandle,
     callers: ServerHandle,
+    /// The drain takes it, because the socket closes with its last descriptor.
+    callers_listener: RefCell<Option<TcpListener>>,
+    /// Ends the refusal of late connections when it is dropped.
+    late_stop: RefCell<Option<oneshot::Sender<()>>>,
     peers_stop: watch::Sender<bool>,
     peers_ended: watch::Receiver<bool>,
     in_flight: Arc<InFlight>,
@@ -111,6 +123,8 @@
         started: Instant::now(),
         seed: cx.seed,
     });
+    let callers_listener = cx.callers.try_clone().wrap_err("caller listener")?;
+    let callers_listener = RefCell::new(Some(callers_listener));
     let (handle_tx, handle_rx) = std::sync::mpsc::channel();
     let listener = cx.callers;
     let callers_thread = spawn("callers", move |ready| async move {
@@ -126,7 +140,16 @@
     })?;
     let callers = handle_rx.recv().wrap_err("caller thread ended")?;
     let threads = vec![dispatch_thread, callers_thread];
-    Ok(TrafficThreads { dispatch, callers, peers_stop, peers_ended, in_flight, threads })
+    Ok(TrafficThreads {
+        dispatch,
+        callers,
+        callers_listener,
+        late_stop: RefCell::default(),
+        peers_stop,
+        peers_ended,
+        in_flight,
+        threads,
+    })
 }
 
 /// Starts a thread with an actix system and waits until `f` reports that it is ready.
@@ -154,10 +177,14 @@
     /// whether all have ended; the threads keep running until [`TrafficThreads::stop`].
     pub async fn drain(&self, limit: Millis) -> bool {
         self.in_flight.start_drain();
+        let (late_stop, late_stopped) = oneshot::channel();
+        self.late_stop.replace(Some(late_stop));
         let drained = timeout(limit.to_duration(), async {
+            let late = self.callers_listener.take();
+            let late = late.map(|l| actix_rt::spawn(late_callers::refuse_until(l, late_stopped)));
+            self.callers.pause().await;
+            tokio::time::sleep(LAST_REFUSALS).await;
             self.in_flight.idle().await;
-            // Only last bytes are left to be written.
-            self.callers.stop(true).await;
             self.dispatch.send(DispatchWork::DrainAll);
             // Receivers exist as long as the dispatch thread runs.
             let _ = self.peers_stop.send(true);
@@ -166,6 +193,12 @@
             let _ = rx.await;
             // Replies may still be on their way to peers after the last call has ended.
             let _ = self.peers_ended.clone().wait_for(|ended| *ended).await;
+            // Only last bytes are left to be written.
+            self.callers.stop(true).await;
+            self.late_stop.take();
+            if let Some(late) = late {
+                let _ = late.await;
+            }
         });
         let drained = drained.await.is_ok();
         if !drained {
