Write the parity check of a test as clippy wants it

Cause: clippy's manual_is_multiple_of, with warnings as errors, stopped in call_frames.rs.

Change: `is_multiple_of`. Measured: clippy over the workspace and all targets has no warning. Conclusion: no effect on the test.

--- a/crates/ibisroute/tests/call_frames.rs
+++ b/crates/ibisroute/tests/call_frames.rs
@@ -44,7 +44,7 @@
             path,
             headers: vec![("x".into(), value)],
             body_bytes: Some(n),
-            new_connection: n % 2 == 0,
+            new_connection: n.is_multiple_of(2),
         };
         let reply = ReplyHead::Refused {
             request_id: "id".into(),
