Deliver the report of a move that left the catalogue

Cause: a node dropped what it knew of a move when the move left the catalogue. `move declare` removes the earlier move as soon as its outcome row exists, so a report that the owner's server had not taken yet was never delivered. Ruled out: retries of the report; they go on while the move is declared (owner_fails, owner_hangs). Change: an evaluator that knows the outcome keeps the undelivered report and repeats it until it is delivered. Before: move_removed_early "waited 10000 ms in vain for: the owner's report". After: it passes. Not covered: when the move is removed within 2 s of the outcome, only the writer of the outcome keeps the report, and it is lost if that node stops.

--- a/crates/ibisroute/src/moves/evaluator.rs
+++ b/crates/ibisroute/src/moves/evaluator.rs
@@ -241,6 +241,14 @@
     peer: SocketAddr,
 }
 
+/// A report of a move that left the catalogue before its owner had the report.
+struct OwedReport {
+    url: Option<SmolStr>,
+    report: OwnerReport,
+    due: Millis,
+    retry: Retry,
+}
+
 /// A notice that goes out again.
 struct Push {
     due: Millis,
@@ -259,6 +267,8 @@
     states: BTreeMap<MoveId, MoveState>,
     undeclared: BTreeMap<MoveId, Millis>,
     tracks: BTreeMap<MoveId, Track>,
+    /// Reports that outlive their move's declaration: the owner is told in any case.
+    owed: BTreeMap<MoveId, OwedReport>,
     /// Evaluators by move, best first; ranking the whole fleet for each report would cost too much.
     owners: BTreeMap<MoveId, Vec<Owner>>,
     changed: Vec<MoveId>,
@@ -280,6 +290,7 @@
             states: BTreeMap::new(),
             undeclared: BTreeMap::new(),
             tracks: BTreeMap::new(),
+            owed: BTreeMap::new(),
             owners: BTreeMap::new(),
             changed: Vec::new(),
             pushes: Vec::new(),
@@ -303,6 +314,7 @@
         for id in &ids {
             self.decide(now, unix_now, id, &mut actions);
         }
+        self.send_owed(now, &mut actions);
         self.send_evidence(now, unix_now, &mut actions);
         self.publish(now, unix_now, &mut actions);
         self.push(now, &mut actions);
@@ -380,8 +392,14 @@
         // Counters live on when only the times change: they are cumulative within a run.
         let same =
             |a: &Move, b: &Move| (&a.service, &a.from, &a.to) == (&b.service, &b.from, &b.to);
-        self.tracks
-            .retain(|id, track| moves.iter().any(|m| &m.id == id && same(m, &track.declared)));
+        let stays =
+            |id: &MoveId, declared: &Move| moves.iter().any(|m| &m.id == id && same(m, declared));
+        let leaving = self.tracks.iter().filter(|(id, track)| !stays(id, &track.declared));
+        let owed: Vec<_> = leaving.filter_map(|(id, track)| self.owe(id, track)).collect();
+        self.owed.extend(owed);
+        // A declaration that returns takes its report over.
+        self.owed.retain(|id, _| !moves.iter().any(|m| &m.id == id));
+        self.tracks.retain(|id, track| stays(id, &track.declared));
         for declared in moves {
             // A move seen before its start cannot have an outcome yet.
             let must_read = unix_now >= declared.start;
@@ -403,6 +421,37 @@
         self.rank_owners();
     }
 
+    /// The report that this node, as an evaluator, still has to deliver for a move.
+    fn owe(&self, id: &MoveId, track: &Track) -> Option<(MoveId, OwedReport)> {
+        let rank = self.rank(id)?;
+        let outcome = track.outcome.as_ref().filter(|_| !track.reported)?;
+        let service = self.service(&track.declared)?;
+        let due = Millis(track.known_at.0 + rank as u64 * self.settings.report_takeover.0);
+        // An attempt under way may still fail; its result then makes the next one due.
+        let owed = OwedReport {
+            url: service.report_url.clone(),
+            report: owner_report(&track.declared, outcome, &service),
+            due,
+            retry: track.report,
+        };
+        Some((id.clone(), owed))
+    }
+
+    fn rank(&self, id: &MoveId) -> Option<usize> {
+        self.owners.get(id)?.iter().position(|o| o.node == self.node)
+    }
+
+    fn send_owed(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        for owed in self.owed.values_mut() {
+            if now < owed.due || !owed.retry.is_due(now) {
+                continue;
+            }
+            owed.retry.in_flight = true;
+            let (url, report) = (owed.url.clone(), owed.report.clone());
+            actions.push(Action::Report { url, report });
+        }
+    }
+
     fn rank_owners(&mut self) {
         let Some(members) = &self.members else { return };
         let count = self.settings.evaluators;
@@ -581,6 +630,16 @@
         actions: &mut Vec<Action>,
     ) {
         let first = Millis(self.settings.retry.0 * 5);
+        if let Some(owed) = self.owed.get_mut(&id) {
+            match result {
+                Ok(()) => {
+                    self.owed.remove(&id);
+                    actions.push(Action::Log(codes::REPORTED, format!("move {id}")));
+                }
+                Err(_) => owed.retry.failed(now, first, &mut self.rng),
+            }
+            return;
+        }
         let Some(track) = self.tracks.get_mut(&id) else { return };
         match result {
             Ok(()) => {
@@ -615,10 +674,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.adopt_outcome(now, id, actions);
-        let owners = self.owners.get(id);
-        let Some(rank) = owners.and_then(|o| o.iter().position(|o| o.node == self.node)) else {
-            return;
-        };
+        let Some(rank) = self.rank(id) else { return };
         let state = self.states.get(id).cloned().unwrap_or_default();
         self.mark_stage(now, id, &state);
         let Some(track) = self.tracks.get_mut(id) else { return };
@@ -758,20 +814,7 @@
             return;
         }
         track.report.in_flight = true;
-        let declared = &track.declared;
-        let report = OwnerReport {
-            identity: SmolStr::new(format!("{id}/{}", outcome.unix_ms.0)),
-            id: id.clone(),
-            service: declared.service.clone().into(),
-            owner: service.owner,
-            from: declared.from.clone().into(),
-            to: declared.to.clone().into(),
-            outcome: outcome.outcome,
-            reason: outcome.reason.clone(),
-            start_unix_ms: declared.start,
-            finish_by_unix_ms: declared.finish_by,
-            ended_unix_ms: outcome.unix_ms,
-        };
+        let report = owner_report(&track.declared, outcome, &service);
         actions.push(Action::Report { url: service.report_url, report });
     }
 
@@ -903,6 +946,22 @@
     }
 }
 
+fn owner_report(declared: &Move, outcome: &RecordedOutcome, service: &Service) -> OwnerReport {
+    OwnerReport {
+        identity: SmolStr::new(format!("{}/{}", declared.id, outcome.unix_ms.0)),
+        id: declared.id.clone(),
+        service: declared.service.clone().into(),
+        owner: service.owner.clone(),
+        from: declared.from.clone().into(),
+        to: declared.to.clone().into(),
+        outcome: outcome.outcome,
+        reason: outcome.reason.clone(),
+        start_unix_ms: declared.start,
+        finish_by_unix_ms: declared.finish_by,
+        ended_unix_ms: outcome.unix_ms,
+    }
+}
+
 fn has_evidence(track: &Track, stage: u8, settings: &MoveSettings) -> bool {
     let (new, all) = track.judge.calls();
     let (new_before, all_before) = track.stage_mark.2;
