Do not count lost nodes as failures of a version

Cause: calls that break because the node beside a target is lost counted as failures of the target's version. A lost node fails about the same number of calls on each of its targets, but the new version has few calls in the first stages, so its share of failures rises far above the old version's. Ruled out: the evidence that new evaluators receive in one piece; the failures were in it, from the callers' nodes. Change: streams that break and nodes that cannot be connected to are left out of the evidence and of the runs of failures. They still eject the target. Targets that cannot be connected to count as before. Consequence: a version that takes its whole host down is found by its missing calls at the stated end, not by failures.

--- a/crates/ibisroute/src/traffic/ingress.rs
+++ b/crates/ibisroute/src/traffic/ingress.rs
@@ -359,7 +359,7 @@
         let reply = match sent {
             Some(Ok(reply)) => reply,
             Some(Err(CallError::NotSent(e))) => {
-                attempt.finish(AttemptEnd::Unreachable, None);
+                attempt.finish(AttemptEnd::NodeUnreachable, None);
                 let status = StatusCode::SERVICE_UNAVAILABLE;
                 return Attempted::Refusal(Refusal::not_run(status, "peer", e.to_string()));
             }
--- a/crates/ibisroute/src/traffic/worker.rs
+++ b/crates/ibisroute/src/traffic/worker.rs
@@ -320,8 +320,10 @@
     Failed,
     /// The stream to the node beside the target broke or went silent.
     Broken,
-    /// The target or its node cannot be connected to: nothing ran, but the fault is theirs.
+    /// The target cannot be connected to: nothing ran, but the fault is its own.
     Unreachable,
+    /// The node beside the target cannot be connected to: nothing ran.
+    NodeUnreachable,
     /// Nothing ran; says nothing about the target's health.
     Refused,
 }
@@ -347,9 +349,16 @@
             AttemptEnd::Answered => Observed::Success,
             AttemptEnd::Refused => Observed::Neutral,
             AttemptEnd::Failed => Observed::Failure,
-            AttemptEnd::Broken | AttemptEnd::Unreachable => Observed::Unreachable,
+            AttemptEnd::Broken | AttemptEnd::Unreachable | AttemptEnd::NodeUnreachable => {
+                Observed::Unreachable
+            }
         };
         self.release(observed, load);
+        // A lost node fails about the same number of calls on each of its targets. A version with a
+        // small share has few calls, so these failures would look like a fault of the version.
+        if matches!(end, AttemptEnd::Broken | AttemptEnd::NodeUnreachable) {
+            return;
+        }
         let not_run = matches!(end, AttemptEnd::Refused | AttemptEnd::Unreachable);
         {
             let mut counts = self.worker.counts.borrow_mut();
