--- /dev/null
+++ b/crates/ibisroute/tests/move_outages.rs
@@ -0,0 +1,246 @@
+//! Moves end as promised while the platform, nodes, the owner's server or the network fail.
+
+mod common;
+
+use std::time::Duration;
+
+use common::cluster::CONVERGENCE_BOUND;
+use common::cluster::SOON;
+use common::cluster::apply;
+use common::moves::MOVE;
+use common::moves::MoveRun;
+use common::moves::Plan;
+use common::moves::RECORD_BOUND;
+use common::moves::WITHDRAWAL_BOUND_MS;
+use common::moves::catalogue;
+use common::moves::exposure;
+use common::moves::view;
+use common::owner::Answer;
+use standins::platform::faults::LostBy;
+use standins::platform::faults::Outage;
+use standins::platform::faults::PlatformFaults;
+use standins::target::faults::TargetFaults;
+use standins::target::unix_ms;
+use standins::wait;
+
+/// Time for a withdrawal to be known on all nodes: the fault shows within the first calls.
+const WITHDRAWN_BOUND: Duration = Duration::from_secs(3);
+
+fn every_call_fails() -> TargetFaults {
+    TargetFaults { failing_share: 1.0, ..TargetFaults::default() }
+}
+
+fn few_calls(seed: u64) -> Plan {
+    Plan { rate_per_s: 400.0, seed, ..Plan::default() }
+}
+
+fn assert_exposure(run: &MoveRun) {
+    let exposed = exposure(&run.records("v2"));
+    println!("{exposed:?}");
+    assert!(exposed.failed > 0, "{exposed:?}");
+    assert!(exposed.last_after_ms <= WITHDRAWAL_BOUND_MS, "{exposed:?}");
+}
+
+/// Guards against a withdrawal that waits for the platform, and against an outcome or a report that
+/// is lost because the platform was down.
+#[test]
+fn platform_down() {
+    let run = MoveRun::start(few_calls(11));
+    run.wait_stage(3, run.until(run.finish_by, Duration::ZERO));
+    let faults = PlatformFaults { outage: Outage::Unavailable, ..PlatformFaults::default() };
+    run.cluster.platform().set_faults(faults);
+    run.set_faults(&every_call_fails());
+    run.wait_phase("withdrawn", WITHDRAWN_BOUND);
+    run.wait_calls(400, SOON);
+    assert_exposure(&run);
+    assert!(run.cluster.platform().row(&format!("move/{MOVE}/outcome")).is_none());
+    assert!(run.owner.attempts().is_empty());
+    run.cluster.platform().set_faults(PlatformFaults::default());
+    let outcome = run.outcome(SOON);
+    assert_eq!(outcome["outcome"], "taken_back", "{outcome}");
+    assert_eq!(run.report(SOON)["outcome"], "taken_back");
+}
+
+/// Guards against a second outcome, or none, when the platform wrote the row and its answer was lost.
+#[test]
+fn answer_lost() {
+    let run = MoveRun::start(few_calls(12));
+    run.wait_stage(3, run.until(run.finish_by, Duration::ZERO));
+    let lost =
+        PlatformFaults { lose_share: 1.0, lose_by: LostBy::Close, ..PlatformFaults::default() };
+    run.cluster.platform().set_faults(lost);
+    run.set_faults(&every_call_fails());
+    let outcome = run.outcome(WITHDRAWN_BOUND);
+    // The writer learns the outcome although no write is ever answered.
+    let knows = |n: &standins::harness::Node| view(n).is_some_and(|v| v["outcome"] == outcome);
+    let known = wait::until_true("a node that knows the outcome", SOON, || {
+        run.cluster.nodes().iter().any(knows)
+    });
+    known.unwrap_or_else(|e| panic!("{e}; {}", run.describe()));
+    let report = run.report(SOON);
+    assert_eq!(report["ended_unix_ms"], outcome["unix_ms"], "{report}");
+    run.cluster.platform().set_faults(PlatformFaults::default());
+    assert_exposure(&run);
+    let identities: Vec<_> =
+        run.owner.reports().into_iter().map(|r| r["identity"].clone()).collect();
+    assert!(identities.iter().all(|i| *i == report["identity"]), "{identities:?}");
+}
+
+/// Guards against a move that never ends because all nodes that judged it are gone.
+#[test]
+fn evaluators_killed_good() {
+    let plan =
+        Plan { nodes: 3, rate_per_s: 300.0, duration_ms: 15_000, seed: 13, ..Plan::default() };
+    let mut run = MoveRun::start(plan);
+    run.wait_stage(2, run.until(run.finish_by, Duration::ZERO));
+    let killed = run.evaluators();
+    assert_eq!(killed.len(), 3, "{}", run.describe());
+    let others: Vec<_> = (0..6).filter(|i| !killed.contains(i)).collect();
+    run.call_nodes(&others);
+    run.cluster.kill_nodes(&killed).expect("nodes are killed");
+    let outcome = run.outcome(run.until(run.finish_by, RECORD_BOUND));
+    assert_eq!(outcome["outcome"], "finished", "{outcome} {}", run.describe());
+    run.wait_phase("finished", CONVERGENCE_BOUND);
+    assert_eq!(run.report(SOON)["outcome"], "finished");
+}
+
+/// Guards against a bad version that keeps its calls because all nodes that judged it are gone.
+#[test]
+fn evaluators_killed_bad() {
+    let plan =
+        Plan { nodes: 3, rate_per_s: 300.0, duration_ms: 15_000, seed: 14, ..Plan::default() };
+    let mut run = MoveRun::start(plan);
+    run.wait_stage(3, run.until(run.finish_by, Duration::ZERO));
+    let killed = run.evaluators();
+    let others: Vec<_> = (0..6).filter(|i| !killed.contains(i)).collect();
+    run.call_nodes(&others);
+    run.cluster.kill_nodes(&killed).expect("nodes are killed");
+    run.set_faults(&every_call_fails());
+    let outcome = run.outcome(run.until(run.finish_by, RECORD_BOUND));
+    assert_eq!(outcome["outcome"], "taken_back", "{outcome} {}", run.describe());
+    run.wait_phase("withdrawn", CONVERGENCE_BOUND);
+    assert_eq!(run.report(SOON)["outcome"], "taken_back");
+    let exposed = exposure(&run.records("v2"));
+    println!("{exposed:?}, withdrawn {} ms after the kill", unix_ms());
+    assert!(exposed.last_after_ms <= WITHDRAWAL_BOUND_MS, "{exposed:?}");
+}
+
+/// Guards against a restarted node that gives the new version more than the permitted share, or
+/// gives a withdrawn version calls.
+#[test]
+fn node_restarted() {
+    let mut run = MoveRun::start(few_calls(15));
+    run.wait_stage(2, run.until(run.finish_by, Duration::ZERO));
+    let before = run.records("v2").len();
+    run.cluster.restart_nodes(&[1]).expect("the node restarts");
+    run.call_nodes(&[1]);
+    run.wait_calls(400, SOON);
+    let new = run.records("v2").len() - before;
+    // Stage 3 gives 25%. With 400 calls 150 are 5.7 standard deviations above it.
+    assert!(new <= 150, "{new} of 400 calls; {}", run.describe());
+    run.call_nodes(&[0, 1, 2, 3]);
+    run.set_faults(&every_call_fails());
+    run.wait_phase("withdrawn", run.until(run.finish_by, Duration::ZERO));
+    run.wait_calls(400, SOON);
+    let before = run.records("v2").len();
+    run.cluster.restart_nodes(&[1]).expect("the node restarts");
+    run.call_nodes(&[1]);
+    run.wait_calls(400, SOON);
+    assert_eq!(run.records("v2").len(), before, "calls on the withdrawn version");
+    assert_eq!(run.outcome(SOON)["outcome"], "taken_back");
+}
+
+/// Guards against two outcomes of one move when the data centres cannot reach each other and only
+/// one of them sees the fault.
+#[test]
+fn data_centres_cut() {
+    let plan = Plan { relays: true, rate_per_s: 300.0, seed: 16, ..Plan::default() };
+    let run = MoveRun::start(plan);
+    run.wait_stage(3, run.until(run.finish_by, Duration::ZERO));
+    run.cluster.partition("erongo-1", "erongo-2").expect("a partition");
+    for (node, target) in run.cluster.targets() {
+        if node < 2 && target.options().version == "v2" {
+            target.set_faults(every_call_fails());
+        }
+    }
+    let outcome = run.outcome(run.until(run.finish_by, RECORD_BOUND));
+    run.cluster.heal();
+    assert_eq!(outcome["outcome"], "taken_back", "{outcome} {}", run.describe());
+    run.wait_phase("withdrawn", CONVERGENCE_BOUND);
+    let before = run.records("v2").len();
+    run.wait_calls(400, SOON);
+    assert_eq!(run.records("v2").len(), before, "calls on the withdrawn version");
+    assert_eq!(run.report(SOON)["outcome"], "taken_back");
+    assert_eq!(run.outcome(SOON), outcome);
+    println!("{:?}", exposure(&run.records("v2")));
+}
+
+/// Guards against a node that was paused during the withdrawal and goes on with its old share.
+#[test]
+fn node_paused() {
+    let mut run = MoveRun::start(few_calls(17));
+    run.wait_stage(4, run.until(run.finish_by, Duration::ZERO));
+    let judges = run.evaluators();
+    let paused = (0..4).find(|i| !judges.contains(i)).expect("one node does not judge");
+    run.cluster.pause_node(paused).expect("the node pauses");
+    run.set_faults(&every_call_fails());
+    run.wait_phase("withdrawn", WITHDRAWN_BOUND);
+    run.wait_calls(200, SOON);
+    let resumed = unix_ms();
+    run.cluster.resume_node(paused).expect("the node resumes");
+    run.wait_phase("withdrawn", Duration::from_millis(WITHDRAWAL_BOUND_MS));
+    let known = unix_ms() - resumed;
+    run.wait_calls(800, SOON);
+    let after: Vec<_> =
+        run.records("v2").into_iter().filter(|r| r.started_unix_ms >= resumed).collect();
+    let last = after.iter().map(|r| r.started_unix_ms - resumed).max().unwrap_or(0);
+    println!(
+        "{} calls after the resume, the last after {last} ms; known after {known} ms",
+        after.len()
+    );
+    assert!(last <= WITHDRAWAL_BOUND_MS, "{last} ms after the resume");
+    assert_eq!(run.outcome(SOON)["outcome"], "taken_back");
+}
+
+/// Guards against a report that is lost because the owner's server fails.
+#[test]
+fn owner_fails() {
+    let plan = Plan { owner: Answer::Fails, faults: every_call_fails(), ..few_calls(18) };
+    owner_recovers(plan);
+}
+
+/// Guards against a report that is lost because the owner's server never answers.
+#[test]
+fn owner_hangs() {
+    let plan = Plan { owner: Answer::Hangs, faults: every_call_fails(), ..few_calls(19) };
+    owner_recovers(plan);
+}
+
+fn owner_recovers(plan: Plan) {
+    let run = MoveRun::start(plan);
+    let attempt = wait::until("a report", run.until(run.finish_by, RECORD_BOUND), || {
+        run.owner.attempts().pop()
+    });
+    let attempt = attempt.unwrap_or_else(|e| panic!("{e}; {}", run.describe()));
+    assert!(run.cluster.platform().row(&format!("report/{MOVE}")).is_none());
+    run.owner.set_answer(Answer::Good);
+    let report = run.report(SOON);
+    assert_eq!(report["identity"], attempt["identity"]);
+    assert_eq!(report["outcome"], "taken_back");
+}
+
+/// Guards against a report that is lost because the move left the catalogue before the owner's
+/// server took the report, as `move declare` does with the next move.
+#[test]
+fn move_removed_early() {
+    let plan = Plan { owner: Answer::Fails, faults: every_call_fails(), ..few_calls(20) };
+    let run = MoveRun::start(plan);
+    run.outcome(run.until(run.finish_by, RECORD_BOUND));
+    let attempt = wait::until("a report", SOON, || run.owner.attempts().pop());
+    let attempt = attempt.unwrap_or_else(|e| panic!("{e}; {}", run.describe()));
+    let version = apply(&run.cluster, &catalogue(&run.owner.url()));
+    run.cluster.wait_version(version, CONVERGENCE_BOUND).expect("the version is in effect");
+    run.owner.set_answer(Answer::Good);
+    let report = run.report(SOON);
+    assert_eq!(report["identity"], attempt["identity"]);
+}
