Condemn a version whose first calls all fail after two of them

Cause: five consecutive failures were needed, and the first stage gives 1% of the calls. At 6 calls/s on the new version (600 calls/s in all) the withdrawal came 1138 ms after the first failed call in one run of fails_at_once, above the promised 1 s. Ruled out: evidence and notices on their way; they take 0.2 to 0.3 s. Change: while no call of the new version has succeeded, a run is long enough when a version that fails as often as the old one shows it with a chance of at most 1e-4. That is two failures up to a usual failure share of 1%. Limit: with fewer than about 4 calls/s on the new version, the second call itself can come after 1 s.

--- a/crates/ibisroute/src/moves/verdict.rs
+++ b/crates/ibisroute/src/moves/verdict.rs
@@ -32,6 +32,13 @@
 /// Consecutive failures over the fleet that make a suspicion, for all thresholds.
 const RUN_LENGTH: u64 = 5;
 
+/// Least such run while no call of the new version has succeeded. The first stage gives so few calls
+/// that five failures can take longer than the second in which a bad version must lose its calls.
+const FIRST_RUN_LENGTH: u64 = 2;
+
+/// Probability of such a shorter run on a version that fails as often as the old one.
+const FIRST_RUN_CHANCE: f64 = 1e-4;
+
 /// Share of bad calls above which the wait is short.
 const GROSS: f64 = 0.6;
 
@@ -253,11 +260,23 @@
                 _ => {}
             }
         }
-        if self.run >= RUN_LENGTH && self.run_crossed_at.is_none() {
+        let length = if together { self.run_length() } else { RUN_LENGTH };
+        if self.run >= length && self.run_crossed_at.is_none() {
             self.run_crossed_at = Some(now);
         }
     }
 
+    /// Consecutive failures that make a suspicion at present.
+    fn run_length(&self) -> u64 {
+        if self.run < self.new_calls {
+            return RUN_LENGTH;
+        }
+        let usual = self.usual_share(Fault::Failures);
+        (FIRST_RUN_LENGTH..RUN_LENGTH)
+            .find(|length| usual.powf(*length as f64) <= FIRST_RUN_CHANCE)
+            .unwrap_or(RUN_LENGTH)
+    }
+
     /// Whether load is above what the old version ever carried, so that nothing compares.
     fn is_overloaded(&self, now: Millis) -> bool {
         let (old, new) = self.window(Millis(now.0.saturating_sub(RECENT_MS)));
--- a/crates/ibisroute/tests/move_withdrawals.rs
+++ b/crates/ibisroute/tests/move_withdrawals.rs
@@ -12,6 +12,7 @@
 use common::moves::exposure;
 use serde_json::Value;
 use standins::target::faults::TargetFaults;
+use standins::target::faults::Trigger;
 
 /// Calls that must end after the withdrawal, none of them on the new version.
 const CALLS_AFTER: u64 = 600;
@@ -59,3 +60,44 @@
     let exposed = exposure(&run.records("v2"));
     assert!(exposed.last_after_ms <= WITHDRAWAL_BOUND_MS, "{exposed:?}");
 }
+
+/// Guards against a version that answers, but too late, and takes over the traffic.
+#[test]
+fn slow_at_once() {
+    let faults = TargetFaults { slow_ms: 400, ..TargetFaults::default() };
+    let run = MoveRun::start(Plan { faults, seed: 4, ..Plan::default() });
+    let outcome = withdrawn(&run, "slow calls");
+    let after = outcome["unix_ms"].as_u64().expect("a time").saturating_sub(run.start);
+    println!("slow version withdrawn {after} ms after the start of the move");
+}
+
+/// Guards against a version that fails only when it has several calls at a time.
+#[test]
+fn fails_above_load() {
+    let trigger = Trigger { above_in_flight: Some(2), ..Trigger::default() };
+    let faults = TargetFaults { failing_share: 1.0, trigger, ..TargetFaults::default() };
+    let service_ms = (30, 40);
+    let run = MoveRun::start(Plan { faults, service_ms, seed: 5, ..Plan::default() });
+    withdrawn(&run, "failures");
+}
+
+/// Guards against a fault of one route that is hidden among the calls of the others.
+#[test]
+fn fails_on_route() {
+    let trigger = Trigger { path_prefix: Some("/counter/maps".to_string()), ..Trigger::default() };
+    let faults = TargetFaults { failing_share: 1.0, trigger, ..TargetFaults::default() };
+    let run = MoveRun::start(Plan { faults, seed: 6, ..Plan::default() });
+    let outcome = withdrawn(&run, "failures on entry maps");
+    let after = outcome["unix_ms"].as_u64().expect("a time").saturating_sub(run.start);
+    println!("fault on one route withdrawn {after} ms after the start of the move");
+}
+
+/// Guards against a version that fails one call in ten and passes for a good one.
+#[test]
+fn fails_slightly() {
+    let faults = TargetFaults { failing_share: 0.1, ..TargetFaults::default() };
+    let run = MoveRun::start(Plan { faults, seed: 7, ..Plan::default() });
+    let outcome = withdrawn(&run, "failures");
+    let after = outcome["unix_ms"].as_u64().expect("a time").saturating_sub(run.start);
+    println!("10% of failures withdrawn {after} ms after the start of the move");
+}
