Make the traffic model of move_verdicts cheaper

The model drew the exponential of a sum and searched its bucket; it now adds in buckets, with the same draws. Runs and bounds are unchanged.

--- a/crates/ibisroute/tests/move_verdicts.rs
+++ b/crates/ibisroute/tests/move_verdicts.rs
@@ -268,10 +268,17 @@
     part as f64 / (1_u64 << bits) as f64
 }
 
-/// A factor on the latency that is 1 in the middle and about 1.6 at one standard deviation.
-fn spread(mut random: u64) -> f64 {
-    let sum = fraction(&mut random, 21) + fraction(&mut random, 21) + fraction(&mut random, 21);
-    (sum - 1.5).exp()
+/// Buckets by which a latency is spread: 0 in the middle, and a factor of about 1.6 at one standard
+/// deviation. Two buckets are a factor of two, so this spares an exponential and a search in each call.
+fn spread(random: u64) -> f64 {
+    const MASK: u64 = (1 << 21) - 1;
+    let sum = (random & MASK) + (random >> 21 & MASK) + (random >> 42 & MASK);
+    (sum as f64 / (1_u64 << 21) as f64 - 1.5) * (2.0 * std::f64::consts::LOG2_E)
+}
+
+/// Bucket of a latency as a number with a fraction; rounding up gives the index.
+fn bucket_of(micros: f64) -> f64 {
+    2.0 * (micros / LatencyHistogram::bound_micros(0)).log2()
 }
 
 fn run(kind: Kind, config: &Arc<CompiledCatalogue>, seed: u64) -> Run {
@@ -279,7 +286,7 @@
     let mut model = Model::new(kind, &mut rng);
     let names: Vec<EntryName> = ENTRIES.iter().map(|(entry, _, _)| name(entry)).collect();
     let versions: [VersionName; 2] = [name("v1"), name("v2")];
-    let bounds: Vec<f64> = (0..LATENCY_BUCKETS).map(LatencyHistogram::bound_micros).collect();
+    let base = ENTRIES.map(|(_, micros, _)| bucket_of(micros));
     let node: NodeId = name("n1");
     let mut evaluator = Evaluator::new(node, 1, MoveSettings::default(), seed);
     let mut queue = vec![Event::Configuration(config.clone()), Event::Members(view())];
@@ -310,14 +317,15 @@
         for _ in 0..(model.calls_per_step * jitter) as u64 {
             let mut random: u64 = rng.random();
             let pick = fraction(&mut random, 16);
-            let entry = ENTRIES.iter().position(|(.., part)| pick < *part).unwrap_or(2);
+            let entry = usize::from(pick >= ENTRIES[0].2) + usize::from(pick >= ENTRIES[1].2);
             let is_new = fraction(&mut random, 24) < share;
             let (failing, factor) = model.call(is_new, entry, elapsed, share);
             let cell = &mut cells[entry][usize::from(is_new)];
             cell.calls += 1;
             cell.failures += u64::from(fraction(&mut random, 24) < failing);
-            let micros = ENTRIES[entry].1 * factor * spread(rng.random());
-            cell.buckets[bounds.partition_point(|b| *b < micros).min(LATENCY_BUCKETS - 1)] += 1;
+            let slower = if factor == 1.0 { 0.0 } else { 2.0 * factor.log2() };
+            let bucket = (base[entry] + slower + spread(rng.random())).ceil() as usize;
+            cell.buckets[bucket.min(LATENCY_BUCKETS - 1)] += 1;
             if share > 0.0 && share <= 0.01 {
                 first_stage.0 += u64::from(is_new);
                 first_stage.1 += 1;
