--- /dev/null
+++ b/crates/ibisroute/tests/move_declarations.rs
@@ -0,0 +1,59 @@
+//! Operators who declare moves of one service at the same time, on real node processes.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::cluster;
+use common::cluster::CONVERGENCE_BOUND;
+use common::cluster::SOON;
+use common::cluster::ctl;
+use common::moves::catalogue;
+use serde_json::Value;
+use standins::harness::Node;
+
+/// Operators at a time.
+const OPERATORS: usize = 4;
+
+/// Exit code of a command that did what it was asked.
+const DONE: Option<i32> = Some(0);
+
+/// Exit codes of the others: an undecided earlier move, or a conflict with another operator.
+const REFUSED: [Option<i32>; 2] = [Some(1), Some(4)];
+
+fn declared(node: &Node) -> BTreeSet<String> {
+    let moves = node.admin("/moves").map(|answer| answer.json()).unwrap_or(Value::Null);
+    let moves = moves["moves"].as_array().cloned().unwrap_or_default();
+    moves.iter().filter_map(|m| m["id"].as_str().map(String::from)).collect()
+}
+
+/// Guards against two moves of one service, and against a command that reports success for a move
+/// that is not declared.
+#[test]
+fn one_of_many_wins() {
+    let cluster = cluster::builder().data_centre("erongo-1", "erongo", 2).start();
+    let cluster = cluster.expect("nodes start");
+    let version = cluster::apply(&cluster, &catalogue("http://127.0.0.1:9/moves"));
+    cluster.wait_ready(SOON).expect("all nodes serve");
+    cluster.wait_version(version, SOON).expect("the version is in effect");
+    let declare = |operator: usize| {
+        let (id, to) = (format!("counter-{operator}"), format!("v{}", operator + 2));
+        let args = ["move", "declare", "--service", "counter", "--to", &to, "--id", &id];
+        let times = ["--start", "+60s", "--finish-by", "+60s", "--author", "test"];
+        (id.clone(), ctl(&cluster, &[&args[..], &times].concat()))
+    };
+    let results: Vec<_> = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..OPERATORS).map(|o| scope.spawn(move || declare(o))).collect();
+        threads.into_iter().map(|t| t.join().expect("the command ran")).collect()
+    });
+    let winners: Vec<_> = results.iter().filter(|(_, o)| o.code == DONE).collect();
+    assert_eq!(winners.len(), 1, "{results:?}");
+    assert!(
+        results.iter().all(|(_, o)| o.code == DONE || REFUSED.contains(&o.code)),
+        "{results:?}"
+    );
+    cluster.wait_version(version + 1, CONVERGENCE_BOUND).expect("the move is declared");
+    for node in cluster.nodes() {
+        assert_eq!(declared(node), BTreeSet::from([winners[0].0.clone()]), "{results:?}");
+    }
+}
--- a/crates/ibisroute/tests/move_finishes.rs
+++ b/crates/ibisroute/tests/move_finishes.rs
@@ -50,3 +50,13 @@
     let cold_start = ColdStart { for_ms: 4_000, slow_ms: 400, failing: false };
     finishes(MoveRun::start(Plan { cold_start, duration_ms: 15_000, seed: 2, ..Plan::default() }));
 }
+
+/// Guards against a good version that is withdrawn because the whole service is overloaded.
+#[test]
+fn overloaded_service() {
+    // 8 targets with 2 slots at 20 to 30 ms take 640 calls a second with no room; nodes refuse the
+    // rest and queues make the others slow, on both versions.
+    let plan =
+        Plan { slots: 2, service_ms: (20, 30), duration_ms: 15_000, seed: 8, ..Plan::default() };
+    finishes(MoveRun::start(plan));
+}
--- a/crates/ibisroute/tests/move_outages.rs
+++ b/crates/ibisroute/tests/move_outages.rs
@@ -121,7 +121,7 @@
     run.wait_phase("withdrawn", CONVERGENCE_BOUND);
     assert_eq!(run.report(SOON)["outcome"], "taken_back");
     let exposed = exposure(&run.records("v2"));
-    println!("{exposed:?}, withdrawn {} ms after the kill", unix_ms());
+    println!("{exposed:?}");
     assert!(exposed.last_after_ms <= WITHDRAWAL_BOUND_MS, "{exposed:?}");
 }
 
@@ -166,13 +166,15 @@
     let outcome = run.outcome(run.until(run.finish_by, RECORD_BOUND));
     run.cluster.heal();
     assert_eq!(outcome["outcome"], "taken_back", "{outcome} {}", run.describe());
+    let reason = outcome["reason"].as_str().unwrap_or_default();
+    assert!(reason.contains("failures"), "{outcome}");
     run.wait_phase("withdrawn", CONVERGENCE_BOUND);
     let before = run.records("v2").len();
     run.wait_calls(400, SOON);
     assert_eq!(run.records("v2").len(), before, "calls on the withdrawn version");
     assert_eq!(run.report(SOON)["outcome"], "taken_back");
     assert_eq!(run.outcome(SOON), outcome);
-    println!("{:?}", exposure(&run.records("v2")));
+    println!("{outcome} {:?}", exposure(&run.records("v2")));
 }
 
 /// Guards against a node that was paused during the withdrawal and goes on with its old share.
