--- a/crates/ibisroute/tests/move_finishes.rs
+++ b/crates/ibisroute/tests/move_finishes.rs
@@ -50,3 +50,15 @@
     let cold_start = ColdStart { for_ms: 4_000, slow_ms: 400, failing: false };
     finishes(MoveRun::start(Plan { cold_start, duration_ms: 15_000, seed: 2, ..Plan::default() }));
 }
+
+/// Guards against a good version that is withdrawn because the whole service is overloaded, from the
+/// third stage on.
+#[test]
+fn overloaded_service() {
+    let run = MoveRun::start(Plan { slots: 2, duration_ms: 15_000, seed: 8, ..Plan::default() });
+    run.wait_stage(3, run.until(run.finish_by, Duration::ZERO));
+    // 8 targets with 2 slots at 25 ms take 640 calls a second at most; the versions' shares leave the
+    // targets of one or the other without room, so that calls queue and some are refused.
+    run.cluster.targets().for_each(|(_, target)| target.set_service_ms((20, 30)));
+    finishes(run);
+}
