--- a/crates/ibisroute/tests/graceful_shutdown.rs
+++ b/crates/ibisroute/tests/graceful_shutdown.rs
@@ -56,7 +56,7 @@
         cluster::builder().data_centre("erongo-1", "erongo", 2).start().expect("nodes start");
     let slow = TargetOptions { service_ms: (1000, 1000), ..TargetOptions::default() };
     cluster.start_target(1, slow).expect("a target starts");
-    cluster::wait_ready_targets(&cluster, 1);
+    cluster.wait_targets(1, cluster::SOON).expect("targets become ready");
     let version = cluster::apply(&cluster, &cluster::catalogue());
     cluster.wait_ready(SOON).expect("nodes serve");
     cluster.wait_version(version, SOON).expect("the version is in effect");
@@ -94,7 +94,7 @@
         assert_eq!(cluster.stop_node(node, SOON).expect("the node ends"), Some(0));
         cluster.start_nodes(&[node]).expect("restarted");
         cluster.wait_ready(cluster::CONVERGENCE_BOUND).expect("the node serves again");
-        cluster::wait_ready_targets(&cluster, 4);
+        cluster.wait_targets(4, cluster::SOON).expect("targets become ready");
         load::wait_calls(&caller, 50);
     }
     let summary = caller.stop();
@@ -179,7 +179,7 @@
         }
         cluster.start_nodes(&pair).expect("restarted");
         cluster.wait_ready(cluster::CONVERGENCE_BOUND).expect("the nodes serve again");
-        cluster::wait_ready_targets(&cluster, 4);
+        cluster.wait_targets(4, cluster::SOON).expect("targets become ready");
     }
     shared.stopped.store(true, Ordering::Relaxed);
     let ended = threads.into_iter().map(|thread| thread.join().expect("the caller ends"));
--- a/crates/ibisroute/tests/large_uploads.rs
+++ b/crates/ibisroute/tests/large_uploads.rs
@@ -31,7 +31,7 @@
         ..TargetOptions::default()
     };
     cluster.start_target(1, options).expect("a target starts");
-    cluster::wait_ready_targets(&cluster, 1);
+    cluster.wait_targets(1, cluster::SOON).expect("targets become ready");
     let version = cluster::apply(&cluster, &cluster::catalogue());
     cluster.wait_ready(SOON).expect("nodes serve");
     cluster.wait_version(version, SOON).expect("the version is in effect");
--- a/crates/ibisroute/tests/leaving_targets.rs
+++ b/crates/ibisroute/tests/leaving_targets.rs
@@ -51,7 +51,7 @@
     for node in 0..3 {
         cluster.start_target(node, counter(&format!("c{node}"))).expect("a target starts");
     }
-    cluster::wait_ready_targets(&cluster, 3);
+    cluster.wait_targets(3, cluster::SOON).expect("targets become ready");
     let version = cluster::apply(&cluster, &cluster::catalogue());
     cluster.wait_ready(SOON).expect("nodes serve");
     cluster.wait_version(version, SOON).expect("the version is in effect");
@@ -159,7 +159,7 @@
     let cut = TargetFaults { cut_middle_share: 0.5, seed: 67, ..Default::default() };
     let options = TargetOptions { stream: true, faults: cut, ..counter("c0") };
     cluster.start_target(0, options).expect("a target starts");
-    cluster::wait_ready_targets(&cluster, 1);
+    cluster.wait_targets(1, cluster::SOON).expect("targets become ready");
     let version = cluster::apply(&cluster, &cluster::catalogue());
     cluster.wait_ready(SOON).expect("nodes serve");
     cluster.wait_version(version, SOON).expect("the version is in effect");
--- a/crates/ibisroute/tests/overloaded_targets.rs
+++ b/crates/ibisroute/tests/overloaded_targets.rs
@@ -42,7 +42,7 @@
         };
         cluster.start_target(node, options).expect("a target starts");
     }
-    cluster::wait_ready_targets(&cluster, 2);
+    cluster.wait_targets(2, cluster::SOON).expect("targets become ready");
     let mut document = cluster::catalogue();
     for entry in document["entries"].as_array_mut().expect("entries").iter_mut() {
         entry["service"] = "counter".into();
