Bound late calls of withdrawn versions by time in the tests

fails_on_route and fails_above_load failed in one run on a busy host (load 34 on 10 cores): 16 and 8 calls began at the target after all nodes had the phase "withdrawn". These calls were chosen before and on their way. The tests compared the number of calls from that moment on, which nothing promises. They now require that no call begins later than 1 s after the outcome was decided, which is the stated bound, and look at 200 calls beyond it.

--- a/crates/ibisroute/tests/common/moves.rs
+++ b/crates/ibisroute/tests/common/moves.rs
@@ -294,6 +294,17 @@
         result.unwrap_or_else(|e| panic!("{e}; {}", self.describe()))
     }
 
+    /// Checks that the new version runs no call that begins later than the stated bound after `unix`,
+    /// over half a second of calls. Calls on their way at `unix` may still arrive.
+    pub(crate) fn assert_no_calls_since(&self, unix: u64) {
+        let end = unix + WITHDRAWAL_BOUND_MS;
+        let over = wait::until_true("the end of the bound", SOON, || unix_ms() >= end);
+        over.expect("the bound is shorter than the wait");
+        self.wait_calls(200, SOON);
+        let late = self.records("v2").iter().filter(|r| r.started_unix_ms > end).count();
+        assert_eq!(late, 0, "calls on the withdrawn version; {}", self.describe());
+    }
+
     /// Stops the calls and returns what was counted.
     pub(crate) fn stop_calls(&mut self) -> Summary {
         self.caller.take().expect("calls go on").stop()
