--- a/crates/ibisroute/src/distribution/actor.rs
+++ b/crates/ibisroute/src/distribution/actor.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use actix::Actor;
 use actix::AsyncContext;
@@ -30,6 +29,7 @@
 use super::state::Source;
 use super::state::State;
 use super::state::Status;
+use crate::clock::Clock;
 use crate::events;
 use crate::events::distribution as codes;
 use crate::membership::record::MemberView;
@@ -132,7 +132,7 @@
 pub struct DistributionActor {
     parts: DistributionParts,
     state: State,
-    started: Instant,
+    clock: Clock,
     compiled: Option<CompiledCatalogue>,
     kept: VecDeque<Arc<CompiledCatalogue>>,
     subscribers: SubscribeDistribution,
@@ -147,7 +147,7 @@
         Self {
             parts,
             state,
-            started: Instant::now(),
+            clock: Clock::start(),
             compiled: None,
             kept: VecDeque::new(),
             subscribers: SubscribeDistribution::default(),
@@ -156,12 +156,8 @@
         }
     }
 
-    fn now(&self) -> Millis {
-        Millis::from(self.started.elapsed())
-    }
-
     fn step(&mut self, event: Event, cx: &mut Context<Self>) {
-        let now = self.now();
+        let now = self.clock.now();
         let actions = self.state.step(now, event);
         for action in actions {
             self.perform(action, cx);
@@ -312,7 +308,7 @@
     /// Whether one more transfer may run now. A transfer counts for a fixed time, because its end
     /// is not visible here.
     fn admit_transfer(&mut self) -> bool {
-        let now = self.now();
+        let now = self.clock.now();
         let slot = self.parts.settings.transfer_slot_ms;
         self.transfers.retain(|start| now.since(*start).0 < slot);
         if self.transfers.len() >= self.parts.settings.transfers_max {
--- a/crates/ibisroute/src/membership/actor.rs
+++ b/crates/ibisroute/src/membership/actor.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use actix::Actor;
 use actix::ActorFutureExt;
@@ -34,6 +33,7 @@
 use super::state::Action;
 use super::state::Event;
 use super::state::State;
+use crate::clock::Clock;
 use crate::events;
 use crate::events::membership as codes;
 use crate::node::messages::DatagramReceived;
@@ -130,7 +130,7 @@
     parts: MembershipParts,
     state: State,
     rng: SmallRng,
-    started: Instant,
+    clock: Clock,
     subscribers: SubscribeMembership,
     changed: bool,
     published_at: Option<Millis>,
@@ -154,7 +154,7 @@
             read_gap_ms: parts.settings.read_gap_min_ms,
             parts,
             state,
-            started: Instant::now(),
+            clock: Clock::start(),
             subscribers: SubscribeMembership::default(),
             changed: true,
             published_at: None,
@@ -169,12 +169,8 @@
         }
     }
 
-    fn now(&self) -> Millis {
-        Millis::from(self.started.elapsed())
-    }
-
     fn step(&mut self, event: Event, cx: &mut Context<Self>) {
-        let now = self.now();
+        let now = self.clock.now();
         let actions = self.state.step(now, event);
         for action in actions {
             self.perform(action, cx);
@@ -202,7 +198,7 @@
 
     fn tick(&mut self, cx: &mut Context<Self>) {
         self.step(Event::Tick, cx);
-        let now = self.now();
+        let now = self.clock.now();
         self.publish(now);
         if self.leaving {
             return;
@@ -249,7 +245,7 @@
     fn retry_at(&mut self, failures: u32) -> Millis {
         let settings = &self.parts.settings;
         let bound = (settings.retry_min_ms << failures.min(16)).min(settings.retry_max_ms);
-        Millis(self.now().0 + self.rng.random_range(0..=bound))
+        Millis(self.clock.now().0 + self.rng.random_range(0..=bound))
     }
 
     /// Reads go on after the first join with growing gaps: nodes that started together may have
@@ -257,7 +253,7 @@
     fn next_read(&mut self) -> Millis {
         let gap = self.read_gap_ms;
         self.read_gap_ms = (gap * 4).min(self.parts.settings.entry_refresh_ms);
-        Millis(self.now().0 + gap * 9 / 10 + self.rng.random_range(0..=gap / 5))
+        Millis(self.clock.now().0 + gap * 9 / 10 + self.rng.random_range(0..=gap / 5))
     }
 
     /// Reads rows from a random position; a second read from the start makes up for a position
@@ -314,7 +310,7 @@
     /// Whether one more state transfer may run now. A transfer counts for a fixed time, because
     /// its end is not visible here.
     fn admit_transfer(&mut self) -> bool {
-        let now = self.now();
+        let now = self.clock.now();
         let slot = self.parts.settings.transfer_slot_ms;
         self.transfers.retain(|start| now.since(*start).0 < slot);
         if self.transfers.len() >= self.parts.settings.transfers_max {
@@ -401,7 +397,7 @@
         self.write_failures = 0;
         let period = self.parts.settings.entry_refresh_ms;
         let jitter = self.rng.random_range(0..=period / 5);
-        self.write_at = Some(Millis(self.now().0 + period * 9 / 10 + jitter));
+        self.write_at = Some(Millis(self.clock.now().0 + period * 9 / 10 + jitter));
     }
 }
 
