Bound the claim writes of the fleet

Cause: with one transaction in flight a shard, a platform that answers in 5 ms would be asked for 1,600 claim transactions a second, above the several hundred writes that it takes for everybody. Change: transactions of a shard start at least 25 ms apart, which makes at most 320 a second with 8 shards; a lone claim does not wait. A push fanout of zero, with which a node never applies a version, is refused. Conclusion: the bound holds at any speed of the platform.

--- a/crates/ibisroute/src/claims/claim_settings.rs
+++ b/crates/ibisroute/src/claims/claim_settings.rs
@@ -12,6 +12,10 @@
     pub shards: u32,
     /// Most rows in one transaction.
     pub max_batch: usize,
+    /// Least time between the starts of two transactions of a shard, in milliseconds. With `shards` it
+    /// bounds the writes of the whole fleet: 8 shards and 25 ms make at most 320 a second, of the
+    /// several hundred that the platform takes, however fast it answers.
+    pub min_gap_ms: u64,
     /// Pause after a transaction that the platform refused or did not answer, in milliseconds.
     pub retry_pause_ms: u64,
     /// How long a result is offered to the table before it is given up, in milliseconds.
@@ -25,6 +29,7 @@
         Self {
             shards: 8,
             max_batch: 64,
+            min_gap_ms: 25,
             retry_pause_ms: 50,
             record_retry_ms: 60_000,
             reply_margin_ms: 20,
--- a/crates/ibisroute/src/claims/state.rs
+++ b/crates/ibisroute/src/claims/state.rs
@@ -151,7 +151,8 @@
 struct ShardQueue {
     waiting: VecDeque<Write>,
     in_flight: Vec<Write>,
-    retry_at: Millis,
+    /// The next transaction starts at the earliest then.
+    next_at: Millis,
 }
 
 /// A key that this node has claimed, or is claiming, for an attempt.
@@ -447,7 +448,7 @@
 
     fn requeue(&mut self, now: Millis, shard: Shard, writes: Vec<Write>, ambiguous: bool) {
         let queue = self.shards.entry(shard).or_default();
-        queue.retry_at = Millis(now.0 + self.cfg.retry_pause_ms);
+        queue.next_at = queue.next_at.max(Millis(now.0 + self.cfg.retry_pause_ms));
         for mut write in writes.into_iter().rev() {
             if let Write::Insert(insert) = &mut write {
                 insert.ambiguous |= ambiguous;
@@ -519,15 +520,16 @@
     }
 
     fn start_transactions(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let max_batch = self.cfg.max_batch;
+        let (max_batch, min_gap_ms) = (self.cfg.max_batch, self.cfg.min_gap_ms);
         for (shard, queue) in &mut self.shards {
-            if !queue.in_flight.is_empty() || queue.retry_at > now {
+            if !queue.in_flight.is_empty() || queue.next_at > now {
                 continue;
             }
             queue.in_flight = take_batch(&mut queue.waiting, max_batch);
             if queue.in_flight.is_empty() {
                 continue;
             }
+            queue.next_at = Millis(now.0 + min_gap_ms);
             let transaction = transaction_of(&queue.in_flight);
             actions.push(Action::Transact { shard: *shard, transaction });
         }
--- a/crates/ibisroute/src/settings/mod.rs
+++ b/crates/ibisroute/src/settings/mod.rs
@@ -173,6 +173,8 @@
         at_least_one(self.traffic.workers, "traffic.workers")?;
         at_least_one(self.traffic.max_attempts, "traffic.max_attempts")?;
         at_least_one(self.moves.evaluators, "moves.evaluators")?;
+        // Without a push no peer acknowledges a head, and it is never applied.
+        at_least_one(self.distribution.push_fanout, "distribution.push_fanout")?;
         at_least_one(self.uploads.store_attempts as usize, "uploads.store_attempts")?;
         let (connect, request) =
             (self.platform.connect_timeout_ms, self.platform.request_timeout_ms);
--- a/crates/ibisroute/tests/claim_state.rs
+++ b/crates/ibisroute/tests/claim_state.rs
@@ -29,6 +29,9 @@
 const KEYS: u32 = 3;
 const DEADLINE_MS: u64 = 400;
 
+/// Least time between two transactions of a shard; bounds the writes of the fleet.
+const MIN_GAP: Millis = Millis(25);
+
 /// A table with conditional writes, as the platform's protocol describes it.
 #[derive(Default)]
 struct Table {
@@ -91,11 +94,18 @@
     runs: BTreeMap<SmolStr, Vec<SmolStr>>,
     granted: usize,
     faults: bool,
+    /// Start of the last transaction of each owner's shard.
+    started: BTreeMap<(usize, u32), Millis>,
 }
 
 impl World {
     fn new(seed: u64) -> Self {
-        let cfg = ClaimSettings { shards: 2, record_retry_ms: 2000, ..ClaimSettings::default() };
+        let cfg = ClaimSettings {
+            shards: 2,
+            min_gap_ms: MIN_GAP.0,
+            record_retry_ms: 2000,
+            ..ClaimSettings::default()
+        };
         Self {
             rng: SmallRng::seed_from_u64(seed),
             now: Millis(1),
@@ -106,6 +116,7 @@
             runs: BTreeMap::new(),
             granted: 0,
             faults: true,
+            started: BTreeMap::new(),
         }
     }
 
@@ -114,6 +125,10 @@
         for action in actions {
             match action {
                 Action::Transact { shard, transaction } => {
+                    let last = self.started.insert((owner, shard), self.now);
+                    if last.is_some_and(|last| self.now.since(last) < MIN_GAP) {
+                        return Err(format!("two transactions of shard {shard} within {MIN_GAP}"));
+                    }
                     self.requests.push(Request::Transact { owner, shard, transaction });
                 }
                 Action::ReadRow(row) => self.requests.push(Request::Read { owner, row }),
