Stop a node with its parent, on request

Cause: a test run that was killed left its nodes behind: 43 orphans took the load of the machine above 100 and made other tests late. Conclusion: a killed run cleans up after itself.

--- a/crates/ibisroute/src/bin/ibisrouted.rs
+++ b/crates/ibisroute/src/bin/ibisrouted.rs
@@ -9,6 +9,7 @@
 use clap::value_parser;
 use ibisroute::node::logging;
 use ibisroute::node::run;
+use ibisroute::node::run::StopCause;
 use ibisroute::settings::NodeSettings;
 
 /// Exit code for wrong settings.
@@ -31,6 +32,12 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("Settings file (JSON)"),
         )
+        .arg(
+            Arg::new("stop-on-stdin-end")
+                .long("stop-on-stdin-end")
+                .action(ArgAction::SetTrue)
+                .help("Stop gracefully when standard input ends, that is when the parent ends"),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
@@ -65,7 +72,12 @@
     if args.get_flag("check") {
         return print_settings(&settings);
     }
-    match logging::start(&settings.log).and_then(|()| run::run(settings)) {
+    let stop = if args.get_flag("stop-on-stdin-end") {
+        StopCause::SignalOrStdinEnd
+    } else {
+        StopCause::Signal
+    };
+    match logging::start(&settings.log).and_then(|()| run::run(settings, stop)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("error: {e:#}");
--- a/crates/ibisroute/src/node/run.rs
+++ b/crates/ibisroute/src/node/run.rs
@@ -94,9 +94,19 @@
     }
 }
 
+/// What stops a node gracefully, beside `POST /drain`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopCause {
+    /// SIGTERM or SIGINT.
+    Signal,
+    /// A signal, or the end of standard input. A supervisor that holds the other end of the pipe
+    /// leaves no node behind when it is killed.
+    SignalOrStdinEnd,
+}
+
 /// Runs a node until it is told to stop and has drained. Blocks the thread, which becomes the control
 /// thread.
-pub fn run(settings: NodeSettings) -> eyre::Result<()> {
+pub fn run(settings: NodeSettings, stop: StopCause) -> eyre::Result<()> {
     let listeners = Listeners::bind(&settings.listen)?;
     let bound = listeners.addresses(settings.node.clone())?;
     let (control, work) = ControlHandle::new();
@@ -109,9 +119,22 @@
         started: UnixMillis::now(),
         seed: rand::random(),
     };
+    if stop == StopCause::SignalOrStdinEnd {
+        drain_at_stdin_end(cx.drain.clone())?;
+    }
     actix_rt::System::new().block_on(serve(cx, listeners, work))
 }
 
+fn drain_at_stdin_end(drain: Arc<Notify>) -> eyre::Result<()> {
+    let wait = move || {
+        // An unreadable standard input counts as ended.
+        let _ = std::io::copy(&mut std::io::stdin().lock(), &mut std::io::sink());
+        drain.notify_one();
+    };
+    std::thread::Builder::new().name("stdin".to_string()).spawn(wait).wrap_err("stdin thread")?;
+    Ok(())
+}
+
 async fn serve(
     cx: NodeContext,
     listeners: Listeners,
--- a/crates/standins/src/harness/cluster.rs
+++ b/crates/standins/src/harness/cluster.rs
@@ -310,7 +310,8 @@
         eyre::ensure!(self.process.is_none(), "node {} runs already", self.spec.name);
         self.write_settings()?;
         let settings = self.settings.to_str().ok_or_eyre("the temporary folder is not UTF-8")?;
-        self.process = Some(Process::start(program, &["--settings", settings])?);
+        let args = ["--settings", settings, "--stop-on-stdin-end"];
+        self.process = Some(Process::start(program, &args)?);
         self.paused = false;
         Ok(())
     }
--- a/crates/standins/src/harness/process.rs
+++ b/crates/standins/src/harness/process.rs
@@ -126,7 +126,8 @@
     pub(super) fn start(program: &Path, args: &[&str]) -> eyre::Result<Self> {
         let mut child = Command::new(program)
             .args(args)
-            .stdin(Stdio::null())
+            // The pipe ends with this process, also when it is killed.
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
             .spawn()
