Run the control bench at 128 nodes without relays

Cause: a UDP relay opens a socket for each sender, so that 128 nodes need more than the 20,000 files that a process may open; the run of 128 nodes ended with "Too many open files".

Change: above 100 nodes the bench starts no relays. Datagrams come from the nodes' counters, the platform stand-in counts bodies, and streams are not counted; results say whether relays ran.

--- a/crates/standins/src/bin/bench/control.rs
+++ b/crates/standins/src/bin/bench/control.rs
@@ -2,7 +2,9 @@
 //!
 //! Bytes and messages are counted by the relays in front of the nodes and of the platform, so that no
 //! counter of the node itself is trusted. They are payload bytes without the headers of UDP, TCP and
-//! IP. Convergence times come from the nodes' `configuration_applied` events; all processes share
+//! IP. Above [`RELAYED_NODES`] there are no relays: datagrams come from the nodes' own counters with
+//! 28 bytes of headers each, the platform counts bodies only, and streams are not counted.
+//! Convergence times come from the nodes' `configuration_applied` events; all processes share
 //! one clock.
 
 use std::collections::BTreeMap;
@@ -47,6 +49,10 @@
 /// Nodes a data centre.
 const NODES_PER_DATA_CENTRE: u8 = 64;
 
+/// Largest fleet with relays. A UDP relay opens a socket for each sender, and 128 nodes would need
+/// more than the 20,000 files that a process may open.
+const RELAYED_NODES: u8 = 100;
+
 /// Number of the event `configuration_applied`.
 const APPLIED: u64 = 3003;
 
@@ -83,13 +89,16 @@
 impl Totals {
     fn of(cluster: &Cluster) -> eyre::Result<Self> {
         let platform = cluster.platform().counters();
-        let platform_relay = cluster.platform_relay().ok_or_eyre("the bench runs with relays")?;
+        let platform_bytes = match cluster.platform_relay() {
+            Some(relay) => relay.bytes(),
+            None => platform.bytes_in + platform.bytes_out,
+        };
         let mut totals = Self {
             at: Instant::now(),
             datagrams: 0,
             datagram_bytes: 0,
             stream_bytes: 0,
-            platform_bytes: platform_relay.bytes(),
+            platform_bytes,
             processor: Duration::ZERO,
             resident_bytes: 0,
             reads: platform.reads,
@@ -97,11 +106,16 @@
             refused: platform.refused,
         };
         for node in cluster.nodes() {
-            let udp = node.udp_relay().ok_or_eyre("the bench runs with relays")?.counters();
-            let tcp = node.tcp_relay().ok_or_eyre("the bench runs with relays")?;
-            totals.datagrams += 2 * udp.passed;
-            totals.datagram_bytes += 2 * udp.bytes;
-            totals.stream_bytes += 2 * tcp.bytes();
+            if let (Some(udp), Some(tcp)) = (node.udp_relay(), node.tcp_relay()) {
+                totals.datagrams += 2 * udp.counters().passed;
+                totals.datagram_bytes += 2 * udp.counters().bytes;
+                totals.stream_bytes += 2 * tcp.bytes();
+            } else {
+                totals.datagrams += counter(node, "ibis_control_datagrams_sent_total")
+                    + counter(node, "ibis_control_datagrams_received_total");
+                totals.datagram_bytes += counter(node, "ibis_control_bytes_sent_total")
+                    + counter(node, "ibis_control_bytes_received_total");
+            }
             let usage = measure::usage(node.process_id().ok_or_eyre("a node is down")?)?;
             totals.processor += usage.processor;
             totals.resident_bytes += usage.resident_bytes;
@@ -116,13 +130,16 @@
     /// Bytes since `before` beyond those that `idle_per_s` explains.
     fn extra_bytes(&self, before: &Self, idle_per_s: f64) -> f64 {
         let idle = idle_per_s * (self.at - before.at).as_secs_f64();
-        (self.bytes() - before.bytes()) as f64 - idle
+        self.bytes() as f64 - before.bytes() as f64 - idle
     }
 }
 
 /// Starts a fleet with the first version in effect on all nodes.
 fn start(ibisrouted: &Path, nodes: u8, targets: bool) -> eyre::Result<Cluster> {
-    let mut builder = Cluster::builder(ibisrouted).relays().log_level("warn");
+    let mut builder = Cluster::builder(ibisrouted).log_level("warn");
+    if nodes <= RELAYED_NODES {
+        builder = builder.relays();
+    }
     let mut left = nodes;
     let mut number = 1;
     while left > 0 {
@@ -241,15 +258,21 @@
     }
 }
 
+/// Sum of a counter of the node itself over its labels; 0 without an answer.
+fn counter(node: &Node, name: &str) -> u64 {
+    let Some(response) = node.admin("/metrics") else { return 0 };
+    let text = String::from_utf8_lossy(&response.body);
+    let values = text.lines().filter_map(|line| {
+        let rest = line.strip_prefix(name)?;
+        let value = rest.rsplit_once(' ')?.1;
+        (rest.starts_with('{') || rest.starts_with(' ')).then(|| value.parse::<u64>().ok())?
+    });
+    values.sum()
+}
+
 /// Full state transfers that the nodes have asked for since their start.
-fn transfers(cluster: &Cluster) -> f64 {
-    let of = |node: &Node| -> Option<f64> {
-        let response = node.admin("/metrics")?;
-        let text = String::from_utf8_lossy(&response.body);
-        let line = text.lines().find(|line| line.starts_with("ibis_membership_joins_total"))?;
-        line.split_whitespace().last()?.parse().ok()
-    };
-    cluster.nodes().iter().filter_map(of).sum()
+fn transfers(cluster: &Cluster) -> u64 {
+    cluster.nodes().iter().map(|node| counter(node, "ibis_membership_joins_total")).sum()
 }
 
 /// Rates while nothing changes, and the bytes per second of the whole fleet.
@@ -258,11 +281,11 @@
     let before = Totals::of(cluster)?;
     std::thread::sleep(window);
     let after = Totals::of(cluster)?;
-    let transfers = transfers(cluster) - transfers_before;
+    let transfers = (transfers(cluster) - transfers_before) as f64;
     let stream_bytes = (after.stream_bytes - before.stream_bytes) as f64;
     let seconds = (after.at - before.at).as_secs_f64();
     let n = cluster.nodes().len() as f64;
-    let rate = |after: u64, before: u64| (after - before) as f64 / seconds;
+    let rate = |after: u64, before: u64| after.saturating_sub(before) as f64 / seconds;
     let bytes = rate(after.bytes(), before.bytes());
     let processor = after.processor.saturating_sub(before.processor).as_secs_f64();
     let result = json!({
@@ -366,6 +389,7 @@
     Ok(json!({
         "nodes": nodes,
         "targets": targets,
+        "relays": nodes <= RELAYED_NODES,
         "load_before": load_before,
         "load_after": crate::load_average(),
         "catalogue_bytes": catalogue::bytes(0)?.len(),
--- a/crates/standins/src/bin/bench/polling.rs
+++ b/crates/standins/src/bin/bench/polling.rs
@@ -12,7 +12,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use eyre::OptionExt;
 use rand::Rng;
 use serde_json::Value;
 use serde_json::json;
@@ -104,8 +103,14 @@
     changes: u64,
     next: &mut u64,
 ) -> eyre::Result<Value> {
-    let relay = cluster.platform_relay().ok_or_eyre("the bench runs with relays")?;
-    let pollers = Pollers::start(relay.addr(), count);
+    let relay = cluster.platform_relay();
+    let platform = cluster.platform();
+    let bytes_now = || match relay {
+        Some(relay) => relay.bytes(),
+        None => platform.counters().bytes_in + platform.counters().bytes_out,
+    };
+    let addr = relay.map_or(platform.addr(), standins::relay::TcpRelay::addr);
+    let pollers = Pollers::start(addr, count);
     let n = f64::from(count);
     let mut accept = || -> eyre::Result<Accepted> {
         *next += 1;
@@ -113,14 +118,14 @@
     };
     pollers.wait(accept()?.version, count)?;
 
-    let (start, bytes) = (Instant::now(), relay.bytes());
+    let (start, bytes) = (Instant::now(), bytes_now());
     let reads = cluster.platform().counters().reads;
     std::thread::sleep(window);
     let seconds = start.elapsed().as_secs_f64();
-    let bytes_per_s = (relay.bytes() - bytes) as f64 / seconds;
+    let bytes_per_s = (bytes_now() - bytes) as f64 / seconds;
     let reads_per_s = (cluster.platform().counters().reads - reads) as f64 / seconds;
 
-    let (start, bytes) = (Instant::now(), relay.bytes());
+    let (start, bytes) = (Instant::now(), bytes_now());
     let (mut all, mut last) = (Vec::new(), Vec::new());
     for _ in 0..changes {
         let accepted = accept()?;
@@ -130,7 +135,7 @@
         all.extend(times);
     }
     let idle = bytes_per_s * start.elapsed().as_secs_f64();
-    let change_bytes = ((relay.bytes() - bytes) as f64 - idle) / changes.max(1) as f64;
+    let change_bytes = ((bytes_now() - bytes) as f64 - idle) / changes.max(1) as f64;
     Ok(json!({
         "idle": {"table_reads_per_s": reads_per_s, "bytes_per_node_s": bytes_per_s / n},
         "convergence_ms": {
