Find a total failure that begins together with an overload

Cause: the old version was compared with its usual share of failures over the whole move. When an overload makes it fail far more at the same moment, its calls seemed to speak for a common cause, although the new version failed every call. Change: when at least 60% of the new version's calls fail, the old version's present share counts as usual, up to 0.8 of the limit that it must stay below.

No bound is changed.

--- a/crates/ibisroute/src/moves/verdict.rs
+++ b/crates/ibisroute/src/moves/verdict.rs
@@ -59,6 +59,10 @@
 /// hits both does not hit them equally.
 const BETTER: f64 = 0.7;
 
+/// The same when most calls of the new version fail, relative to that limit: closer shares are not
+/// told apart.
+const GROSS_BETTER: f64 = 0.8;
+
 /// Expected bad calls of the old version below which its calls say nothing.
 const FEW_EXPECTED: f64 = 1.0;
 
@@ -314,7 +318,15 @@
         }
         let share = new_bad as f64 / new_calls as f64;
         let common = BETTER * new_bad as f64 / (new_calls + 1) as f64;
-        let usual = self.usual_share(fault).min(common / 2.0);
+        let mut usual = self.usual_share(fault).min(common / 2.0);
+        // When most calls of the new version fail, the old version may have a new cause of its own and
+        // still be clearly better. Its present share then counts as usual.
+        if fault == Fault::Failures && share >= GROSS {
+            let (calls, bad) =
+                if own_calls < RECENT_CALLS { (all_calls, all_bad) } else { (own_calls, own_bad) };
+            let present = bad as f64 / calls.max(1) as f64;
+            usual = usual.max(present.min(GROSS_BETTER * common));
+        }
         let clear = |calls: u64, bad: u64| {
             bad as f64 * (usual / common).ln()
                 + (calls - bad) as f64 * ((1.0 - usual) / (1.0 - common)).ln()
