--- a/crates/ibisroute/tests/move_outages.rs
+++ b/crates/ibisroute/tests/move_outages.rs
@@ -31,11 +31,11 @@
 }
 
 fn few_calls(seed: u64) -> Plan {
-    Plan { rate_per_s: 400.0, seed, ..Plan::default() }
+    Plan { seed, ..Plan::default() }
 }
 
 fn assert_exposure(run: &MoveRun) {
-    let exposed = exposure(&run.records("v2"));
+    let exposed = exposure(&run.new_calls());
     println!("{exposed:?}");
     assert!(exposed.failed > 0, "{exposed:?}");
     assert!(exposed.last_after_ms <= WITHDRAWAL_BOUND_MS, "{exposed:?}");
@@ -89,8 +89,7 @@
 /// Guards against a move that never ends because all nodes that judged it are gone.
 #[test]
 fn evaluators_killed_good() {
-    let plan =
-        Plan { nodes: 3, rate_per_s: 300.0, duration_ms: 15_000, seed: 13, ..Plan::default() };
+    let plan = Plan { nodes: 3, duration_ms: 15_000, seed: 13, ..Plan::default() };
     let mut run = MoveRun::start(plan);
     run.wait_stage(2, run.until(run.finish_by, Duration::ZERO));
     let killed = run.evaluators();
@@ -107,8 +106,7 @@
 /// Guards against a bad version that keeps its calls because all nodes that judged it are gone.
 #[test]
 fn evaluators_killed_bad() {
-    let plan =
-        Plan { nodes: 3, rate_per_s: 300.0, duration_ms: 15_000, seed: 14, ..Plan::default() };
+    let plan = Plan { nodes: 3, duration_ms: 15_000, seed: 14, ..Plan::default() };
     let mut run = MoveRun::start(plan);
     run.wait_stage(3, run.until(run.finish_by, Duration::ZERO));
     let killed = run.evaluators();
@@ -120,7 +118,7 @@
     assert_eq!(outcome["outcome"], "taken_back", "{outcome} {}", run.describe());
     run.wait_phase("withdrawn", CONVERGENCE_BOUND);
     assert_eq!(run.report(SOON)["outcome"], "taken_back");
-    let exposed = exposure(&run.records("v2"));
+    let exposed = exposure(&run.new_calls());
     println!("{exposed:?}");
     assert!(exposed.last_after_ms <= WITHDRAWAL_BOUND_MS, "{exposed:?}");
 }
@@ -159,7 +157,7 @@
 /// one of them sees the fault.
 #[test]
 fn data_centres_cut() {
-    let plan = Plan { relays: true, rate_per_s: 300.0, seed: 16, ..Plan::default() };
+    let plan = Plan { relays: true, seed: 16, ..Plan::default() };
     let run = MoveRun::start(plan);
     run.wait_stage(3, run.until(run.finish_by, Duration::ZERO));
     run.cluster.partition("erongo-1", "erongo-2").expect("a partition");
@@ -177,7 +175,7 @@
     run.assert_no_calls_since(unix_ms());
     assert_eq!(run.report(SOON)["outcome"], "taken_back");
     assert_eq!(run.outcome(SOON), outcome);
-    println!("{outcome} {:?}", exposure(&run.records("v2")));
+    println!("{outcome} {:?}", exposure(&run.new_calls()));
 }
 
 /// Guards against a node that was paused during the withdrawal and goes on with its old share.
--- a/crates/ibisroute/tests/move_withdrawals.rs
+++ b/crates/ibisroute/tests/move_withdrawals.rs
@@ -31,7 +31,7 @@
     assert_eq!(report["outcome"], "taken_back", "{report}");
     assert_eq!(report["reason"], outcome["reason"], "{report}");
     run.assert_no_calls_since(decided);
-    println!("{outcome} {:?}", exposure(&run.records("v2")));
+    println!("{outcome} {:?}", exposure(&run.new_calls()));
     outcome
 }
 
@@ -42,9 +42,11 @@
 /// Guards against a version that fails every call from the start and keeps getting calls.
 #[test]
 fn fails_at_once() {
-    let run = MoveRun::start(Plan { faults: every_call_fails(), ..Plan::default() });
+    // The first stage then gives 6 calls a second, so that the second one soon follows the first.
+    let faults = every_call_fails();
+    let run = MoveRun::start(Plan { faults, rate_per_s: 600.0, ..Plan::default() });
     withdrawn(&run, "failures");
-    let exposed = exposure(&run.records("v2"));
+    let exposed = exposure(&run.new_calls());
     assert!(exposed.last_after_ms <= WITHDRAWAL_BOUND_MS, "{exposed:?}");
     let all = run.ended();
     assert!(exposed.calls as u64 * 20 <= all, "{exposed:?} of {all} calls");
@@ -57,7 +59,7 @@
     run.wait_stage(4, run.until(run.finish_by, Duration::ZERO));
     run.set_faults(&every_call_fails());
     withdrawn(&run, "failures");
-    let exposed = exposure(&run.records("v2"));
+    let exposed = exposure(&run.new_calls());
     assert!(exposed.last_after_ms <= WITHDRAWAL_BOUND_MS, "{exposed:?}");
 }
 
@@ -77,7 +79,8 @@
     let trigger = Trigger { above_in_flight: Some(2), ..Trigger::default() };
     let faults = TargetFaults { failing_share: 1.0, trigger, ..TargetFaults::default() };
     let service_ms = (30, 40);
-    let run = MoveRun::start(Plan { faults, service_ms, seed: 5, ..Plan::default() });
+    let run =
+        MoveRun::start(Plan { faults, service_ms, rate_per_s: 600.0, seed: 5, ..Plan::default() });
     withdrawn(&run, "failures");
 }
 
