--- a/crates/ibisroute/src/moves/actor.rs
+++ b/crates/ibisroute/src/moves/actor.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
 
 use actix::Actor;
 use actix::AsyncContext;
@@ -14,6 +13,7 @@
 use actix::fut::ActorFutureExt;
 use awc::Client;
 
+use crate::clock::Clock;
 use crate::events;
 use crate::moves::evaluator::Action;
 use crate::moves::evaluator::Evaluator;
@@ -89,7 +89,7 @@
 /// Actor of the control thread.
 pub struct MovesActor {
     cx: MovesContext,
-    started: Instant,
+    clock: Clock,
     evaluator: Evaluator,
     client: Client,
 }
@@ -100,15 +100,11 @@
         let evaluator =
             Evaluator::new(cx.node.clone(), cx.incarnation, cx.settings.clone(), cx.seed);
         let client = Client::builder().timeout(cx.settings.report_timeout.to_duration()).finish();
-        Self { cx, started: Instant::now(), evaluator, client }
-    }
-
-    fn now(&self) -> Millis {
-        Millis::from(self.started.elapsed())
+        Self { cx, clock: Clock::start(), evaluator, client }
     }
 
     fn step(&mut self, event: Event, ctx: &mut Context<Self>) {
-        for action in self.evaluator.step(self.now(), UnixMillis::now(), event) {
+        for action in self.evaluator.step(self.clock.now(), UnixMillis::now(), event) {
             self.perform(action, ctx);
         }
     }
@@ -246,7 +242,7 @@
     type Result = Vec<MoveReport>;
 
     fn handle(&mut self, _: QueryMoves, _: &mut Context<Self>) -> Vec<MoveReport> {
-        self.evaluator.report(self.now(), UnixMillis::now())
+        self.evaluator.report(self.clock.now(), UnixMillis::now())
     }
 }
 
