Let a serving detector read the object store at once

Cause: a node that saw the head in the table waited for a jitter of up to 1 ms for each node of the fleet before it read the catalogue object, half a second on average at 1,000 nodes. The jitter is meant for a mass restart, in which every node is a detector; among serving nodes the fleet's 40 polls a second bound the detectors.

Change: only a node without a configuration waits for the jitter.

--- a/crates/ibisroute/src/distribution/state.rs
+++ b/crates/ibisroute/src/distribution/state.rs
@@ -525,7 +525,12 @@
 
     fn start_fetch(&mut self, now: Millis, head: Head, source: Option<SocketAddr>, detector: bool) {
         let nodes = self.peers.len() as u64 + 1;
-        let spread = nodes * 1_000 / self.settings.fleet_object_reads_per_s.max(1);
+        // Only a mass restart makes many detectors at once. Among nodes that serve, the fleet's polls
+        // bound them, and jitter would only delay the first body: by half a second at 1,000 nodes.
+        let spread = match self.held {
+            Some(_) => 0,
+            None => nodes * 1_000 / self.settings.fleet_object_reads_per_s.max(1),
+        };
         let objects_in = if detector {
             self.rng.random_range(0..=spread)
         } else {
