Seed the phases of the polling model

Cause: rand::rng needs a feature that the workspace does not enable, so that `cargo test -p standins` did not compile; builds of the whole workspace hid it.

Change: each poller seeds a SmallRng with its number.

Result: measure_numbers of standins passes when built alone.

--- a/crates/standins/src/bin/bench/polling.rs
+++ b/crates/standins/src/bin/bench/polling.rs
@@ -13,6 +13,8 @@
 use std::time::Instant;
 
 use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use serde_json::Value;
 use serde_json::json;
 use standins::harness::Cluster;
@@ -42,9 +44,9 @@
     fn start(platform: SocketAddr, count: u8) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let found = Found::default();
-        let poller = |_| {
+        let poller = |index: u8| {
             let (stop, found) = (stop.clone(), found.clone());
-            std::thread::spawn(move || poll(platform, &stop, &found))
+            std::thread::spawn(move || poll(platform, index.into(), &stop, &found))
         };
         let threads = (0..count).map(poller).collect();
         Self { stop, found, threads }
@@ -67,8 +69,9 @@
     }
 }
 
-fn poll(platform: SocketAddr, stop: &AtomicBool, found: &Found) {
-    std::thread::sleep(PERIOD.mul_f64(rand::rng().random_range(0.0..1.0)));
+fn poll(platform: SocketAddr, seed: u64, stop: &AtomicBool, found: &Found) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    std::thread::sleep(PERIOD.mul_f64(rng.random_range(0.0..1.0)));
     let mut held = 0;
     let mut next = Instant::now();
     while !stop.load(Ordering::Relaxed) {
