--- a/crates/ibisroute/tests/move_finishes.rs
+++ b/crates/ibisroute/tests/move_finishes.rs
@@ -18,7 +18,10 @@
 /// to the new version.
 fn finishes(mut run: MoveRun) -> MoveRun {
     let outcome = run.outcome(run.until(run.finish_by, RECORD_BOUND));
-    println!("outcome {outcome} {} ms after the stated end", unix_ms() - run.finish_by);
+    println!(
+        "outcome {outcome} {} ms after the stated end",
+        unix_ms().saturating_sub(run.finish_by)
+    );
     assert_eq!(outcome["outcome"], "finished", "{outcome} {}", run.describe());
     run.wait_phase("finished", Duration::from_secs(1));
     // Calls that began before the phase was known everywhere may still be on the old version.
