Let no booking be the probe of an ejected target

Cause: after an ejection the next call decided whether the target was well again. Change: a call that may not be repeated is a probe only when the target has waited 5 s for another one. Deliveries of stored uploads pause 5 s at most.

--- a/crates/ibisroute/src/traffic/balancer.rs
+++ b/crates/ibisroute/src/traffic/balancer.rs
@@ -48,6 +48,18 @@
     targets: BTreeMap<InstanceId, TargetStats>,
 }
 
+/// Time that a target waits for a repeatable call as its probe.
+const PROBE_WAIT: Millis = Millis(5_000);
+
+/// Whether a call may be the one that decides on the return of an ejected target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Probing {
+    /// A repeatable call: when the probe fails, it is sent elsewhere.
+    Allowed,
+    /// A call that may not be repeated: a failed probe would be a failed call.
+    Avoided,
+}
+
 impl Balancer {
     /// Makes a balancer whose random choices follow from `seed`.
     pub fn new(settings: TrafficSettings, seed: u64) -> Self {
@@ -61,14 +73,30 @@
         own: &DataCentre,
         candidates: &[&Endpoint],
         tried: &[InstanceId],
+    ) -> Option<InstanceId> {
+        self.choose_for(now, own, candidates, tried, Probing::Allowed)
+    }
+
+    /// As [`Balancer::choose`]; a call that may not be repeated is no probe while others can be.
+    pub fn choose_for(
+        &mut self,
+        now: Millis,
+        own: &DataCentre,
+        candidates: &[&Endpoint],
+        tried: &[InstanceId],
+        probing: Probing,
     ) -> Option<InstanceId> {
         let out = self.ejected(now, candidates);
         let open: Vec<&Endpoint> =
             candidates.iter().copied().filter(|e| !tried.contains(&e.instance)).collect();
-        let healthy: Vec<&Endpoint> =
+        let mut healthy: Vec<&Endpoint> =
             open.iter().copied().filter(|e| !out.contains(&&e.instance)).collect();
         // A target whose ejection has ended gets exactly one call that decides on its return.
-        let probe = healthy.iter().find(|e| self.is_due(now, &e.instance)).copied();
+        let due = healthy.iter().find(|e| self.is_due(now, &e.instance)).copied();
+        let probe = due.filter(|e| probing == Probing::Allowed || self.waits_long(now, e));
+        if probe.is_none() {
+            healthy.retain(|e| !self.is_due(now, &e.instance));
+        }
         let pool = if healthy.is_empty() { open } else { healthy };
         let chosen = probe.or_else(|| self.pick(now, own, &pool))?.instance.clone();
         let stats = self.targets.entry(chosen.clone()).or_default();
@@ -135,6 +163,13 @@
         out.into_iter().map(|(_, instance)| instance).collect()
     }
 
+    /// Whether the target has waited for its probe so long that any call may be one: the service may
+    /// have no repeatable calls.
+    fn waits_long(&self, now: Millis, endpoint: &Endpoint) -> bool {
+        let ended = self.targets.get(&endpoint.instance).and_then(|s| s.ejected_until);
+        ended.is_some_and(|until| now.since(until) >= PROBE_WAIT)
+    }
+
     fn is_due(&self, now: Millis, instance: &InstanceId) -> bool {
         let Some(stats) = self.targets.get(instance) else { return false };
         !stats.probing && stats.ejected_until.is_some_and(|until| until <= now)
--- a/crates/ibisroute/src/traffic/worker.rs
+++ b/crates/ibisroute/src/traffic/worker.rs
@@ -19,6 +19,7 @@
 
 use super::balancer::Balancer;
 use super::balancer::Observed;
+use super::balancer::Probing;
 use super::dispatch::DispatchHandle;
 use super::failure_run::FailureRuns;
 use super::retry::RetryBudget;
@@ -208,7 +209,10 @@
         };
         let candidates: Vec<&Endpoint> = ready.iter().filter(|e| e.version == version).collect();
         let own = &self.shared.data_centre;
-        let instance = self.balancer.borrow_mut().choose(now, own, &candidates, tried)?;
+        let probing = if entry.class.is_repeatable() { Probing::Allowed } else { Probing::Avoided };
+        let mut balancer = self.balancer.borrow_mut();
+        let instance = balancer.choose_for(now, own, &candidates, tried, probing)?;
+        drop(balancer);
         let endpoint = candidates.into_iter().find(|e| e.instance == instance)?.clone();
         let move_id = declared.filter(|m| m.to == version).map(|m| m.id.clone());
         Some(Attempt {
--- a/crates/ibisroute/src/uploads/upload_settings.rs
+++ b/crates/ibisroute/src/uploads/upload_settings.rs
@@ -17,7 +17,8 @@
     pub scan_period_ms: u64,
     /// Pause after a failed delivery, in milliseconds; doubles with each failure.
     pub retry_pause_ms: u64,
-    /// Longest pause between two deliveries of an upload, in milliseconds.
+    /// Longest pause between two deliveries of an upload, in milliseconds. A minute kept uploads waiting
+    /// long after the targets were back from a mass restart.
     pub max_retry_pause_ms: u64,
     /// Deadline of a delivery, in milliseconds.
     pub delivery_deadline_ms: u64,
@@ -33,7 +34,7 @@
             max_delivering: 4,
             scan_period_ms: 2000,
             retry_pause_ms: 1000,
-            max_retry_pause_ms: 60_000,
+            max_retry_pause_ms: 5_000,
             delivery_deadline_ms: 30_000,
             store_attempts: 4,
         }
--- a/crates/ibisroute/tests/traffic_decisions.rs
+++ b/crates/ibisroute/tests/traffic_decisions.rs
@@ -17,6 +17,7 @@
 use ibisroute::traffic::admission::Ticket;
 use ibisroute::traffic::balancer::Balancer;
 use ibisroute::traffic::balancer::Observed;
+use ibisroute::traffic::balancer::Probing;
 use ibisroute::traffic::failure_run::FailureRuns;
 use ibisroute::traffic::retry::AttemptOutcome;
 use ibisroute::traffic::retry::BodyState;
@@ -120,6 +121,30 @@
     }
 }
 
+/// Guards against bookings that decide whether an ejected target is well again, and against a target
+/// that never returns to a service without repeatable calls.
+#[test]
+fn bookings_are_no_probes() {
+    let endpoints = [endpoint(0, "v1", "a"), endpoint(1, "v1", "a")];
+    let candidates: Vec<&Endpoint> = endpoints.iter().collect();
+    let own = "a".parse().expect("data centre");
+    let (good, bad) = (&endpoints[0].instance, &endpoints[1].instance);
+    let mut balancer = Balancer::new(TrafficSettings::default(), 1);
+    let tried = [good.clone()];
+    assert_eq!(balancer.choose(Millis(0), &own, &candidates, &tried).as_ref(), Some(bad));
+    balancer.finish(Millis(0), bad, Observed::Unreachable, None);
+    let mut booking = |at| {
+        let chosen = balancer
+            .choose_for(Millis(at), &own, &candidates, &[], Probing::Avoided)
+            .expect("target");
+        balancer.finish(Millis(at), &chosen, Observed::Neutral, None);
+        chosen
+    };
+    // The ejection of 1 s is over; for 5 s more only repeatable calls are probes.
+    assert!((1_001..6_000).step_by(100).all(|at| &booking(at) == good));
+    assert_eq!(&booking(6_001), bad);
+}
+
 /// Guards against calls to a far data centre while the own one has room.
 #[test]
 fn own_data_centre_first() {
