--- a/crates/ibisroute/src/bin/ibisrouted.rs
+++ b/crates/ibisroute/src/bin/ibisrouted.rs
@@ -1,5 +1,6 @@
 //! The node: one process beside each target.
 
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -7,10 +8,13 @@
 use clap::ArgAction;
 use clap::Command;
 use clap::value_parser;
+use ibisroute::mesh;
+use ibisroute::mesh::mesh_settings::MeshSettings;
 use ibisroute::node::logging;
 use ibisroute::node::run;
 use ibisroute::node::run::StopCause;
 use ibisroute::settings::NodeSettings;
+use serde::Serialize;
 
 /// Exit code for wrong settings.
 const INVALID_SETTINGS: u8 = 3;
@@ -32,6 +36,13 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("Settings file (JSON)"),
         )
+        .arg(
+            Arg::new("mesh")
+                .long("mesh")
+                .action(ArgAction::SetTrue)
+                .conflicts_with("stop-on-stdin-end")
+                .help("Run on the users' platform, with the settings of docs/platform.md"),
+        )
         .arg(
             Arg::new("stop-on-stdin-end")
                 .long("stop-on-stdin-end")
@@ -46,7 +57,27 @@
         )
 }
 
-fn print_settings(settings: &NodeSettings) -> ExitCode {
+fn run_mesh(file: &Path, check: bool) -> ExitCode {
+    let settings = match MeshSettings::load(file) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("error: {e}");
+            return ExitCode::from(INVALID_SETTINGS);
+        }
+    };
+    if check {
+        return print_settings(&settings);
+    }
+    match mesh::run::run(file, settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("error: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn print_settings<T: Serialize>(settings: &T) -> ExitCode {
     match serde_json::to_string_pretty(settings) {
         Ok(text) => {
             println!("{text}");
@@ -62,6 +93,9 @@
 fn main() -> ExitCode {
     let args = command().get_matches();
     let file = args.get_one::<PathBuf>("settings").expect("clap requires --settings");
+    if args.get_flag("mesh") {
+        return run_mesh(file, args.get_flag("check"));
+    }
     let settings = match NodeSettings::load(file) {
         Ok(settings) => settings,
         Err(e) => {
--- a/crates/ibisroute/src/events/mod.rs
+++ b/crates/ibisroute/src/events/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! Each event has a number that never changes its meaning. `docs/events.md` lists them all; a test
 //! checks that page and code agree. Numbers: 1xxx node, 2xxx membership, 3xxx distribution,
-//! 4xxx traffic, 5xxx moves, 6xxx claims, 7xxx uploads, 8xxx platform, 9xxx report.
+//! 4xxx traffic, 5xxx moves, 6xxx claims, 7xxx uploads, 8xxx platform, 9xxx report,
+//! 10xxx mesh.
 
 pub mod claims;
 pub mod distribution;
 pub mod membership;
+pub mod mesh;
 pub mod moves;
 pub mod node;
 pub mod page;
@@ -71,6 +73,7 @@
         uploads::CODES,
         platform::CODES,
         report::CODES,
+        mesh::CODES,
     ]
     .into_iter()
     .flatten()
--- a/crates/ibisroute/src/lib.rs
+++ b/crates/ibisroute/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod distribution;
 pub mod events;
 pub mod membership;
+pub mod mesh;
 pub mod moves;
 pub mod node;
 pub mod peers;
--- /dev/null
+++ b/crates/ibisroute/src/mesh/decision_log.rs
@@ -0,0 +1,163 @@
+//! Log lines on standard output: one JSON object for each decision.
+//!
+//! A line is dropped, and counted, rather than waited for: a bounded buffer takes the lines and a
+//! thread of its own writes them.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+
+use log::Level;
+use serde_json::Map;
+use serde_json::Value;
+
+use super::mesh_settings::LineSettings;
+use crate::events::EventCode;
+use crate::types::Millis;
+use crate::types::UnixMillis;
+
+/// Bytes that may wait to be written.
+const BUFFER_BYTES: usize = 256 * 1024;
+
+/// Time for which lines are collected before they are written with one system call.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(250);
+
+#[derive(Default)]
+struct Buffer {
+    lines: Vec<u8>,
+    dropped: u64,
+    stopping: bool,
+}
+
+struct Shared {
+    buffer: Mutex<Buffer>,
+    filled: Condvar,
+}
+
+/// Lines that count against the same limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stream {
+    /// Requests that were served.
+    Served,
+    /// Everything else.
+    Other,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Window {
+    second: u64,
+    lines: u32,
+}
+
+/// The log of a node. Cheap to clone.
+#[derive(Clone)]
+pub struct DecisionLog {
+    shared: Arc<Shared>,
+    cfg: LineSettings,
+    windows: Arc<Mutex<[Window; 2]>>,
+}
+
+impl DecisionLog {
+    /// Starts the writing thread.
+    pub fn start(cfg: LineSettings) -> Self {
+        let buffer = Mutex::new(Buffer::default());
+        let shared = Arc::new(Shared { buffer, filled: Condvar::new() });
+        let writer = shared.clone();
+        let spawned =
+            thread::Builder::new().name("log".to_string()).spawn(move || write_lines(&writer));
+        if let Err(e) = spawned {
+            eprintln!("no log: {e}");
+        }
+        Self { shared, cfg, windows: Arc::default() }
+    }
+
+    /// Writes a line, if the limit of its stream has room.
+    pub fn line(&self, now: Millis, stream: Stream, code: &EventCode, fields: &[(&str, Value)]) {
+        if !self.has_room(now, stream) {
+            self.lock().dropped += 1;
+            return;
+        }
+        let mut object = Map::new();
+        object.insert("unix_ms".to_string(), UnixMillis::now().0.into());
+        object.insert("number".to_string(), code.number.into());
+        object.insert("event".to_string(), code.name.into());
+        if code.level <= Level::Warn {
+            object.insert("level".to_string(), code.level.as_str().into());
+        }
+        for (name, value) in fields {
+            object.insert((*name).to_string(), value.clone());
+        }
+        let mut line = Value::Object(object).to_string();
+        line.push('\n');
+        let mut buffer = self.lock();
+        if buffer.lines.len() + line.len() > BUFFER_BYTES {
+            buffer.dropped += 1;
+            return;
+        }
+        let idle = buffer.lines.is_empty();
+        buffer.lines.extend_from_slice(line.as_bytes());
+        drop(buffer);
+        if idle {
+            self.shared.filled.notify_one();
+        }
+    }
+
+    /// Writes what is left and ends the thread soon after.
+    pub fn stop(&self) {
+        let lines = {
+            let mut buffer = self.lock();
+            buffer.stopping = true;
+            std::mem::take(&mut buffer.lines)
+        };
+        self.shared.filled.notify_one();
+        // Nobody reads the log when this fails.
+        let _ = std::io::stdout().write_all(&lines);
+    }
+
+    fn has_room(&self, now: Millis, stream: Stream) -> bool {
+        let mut windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
+        let (window, limit) = match stream {
+            Stream::Served => (&mut windows[0], self.cfg.served_per_s),
+            Stream::Other => (&mut windows[1], self.cfg.other_per_s),
+        };
+        let second = now.0 / 1000;
+        if window.second != second {
+            *window = Window { second, lines: 0 };
+        }
+        window.lines += 1;
+        window.lines <= limit
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Buffer> {
+        self.shared.buffer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn write_lines(shared: &Shared) {
+    let mut reported = 0;
+    loop {
+        let mut buffer = shared.buffer.lock().unwrap_or_else(PoisonError::into_inner);
+        while buffer.lines.is_empty() && !buffer.stopping {
+            buffer = shared.filled.wait(buffer).unwrap_or_else(PoisonError::into_inner);
+        }
+        if buffer.stopping {
+            return;
+        }
+        drop(buffer);
+        thread::sleep(FLUSH_INTERVAL);
+        let mut buffer = shared.buffer.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut lines = std::mem::take(&mut buffer.lines);
+        let dropped = buffer.dropped;
+        drop(buffer);
+        if dropped > reported {
+            lines.extend_from_slice(format!("{{\"dropped_lines\":{dropped}}}\n").as_bytes());
+            reported = dropped;
+        }
+        // Nobody reads the log when this fails.
+        let _ = std::io::stdout().write_all(&lines);
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/src/mesh/http1.rs
@@ -0,0 +1,425 @@
+//! HTTP/1.1 heads and bodies, without I/O.
+//!
+//! The libraries of the house hide what this path has to see: whether a request was read, bytes after
+//! a whole answer, and whether an answer without a length ended or was reset. `httparse` parses, the
+//! framing is decided here.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use smol_str::SmolStr;
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "upgrade",
+];
+
+/// Most headers of a head. A limit on their bytes holds besides.
+const MAX_HEADERS: usize = 128;
+
+/// Longest line of a chunk's size with its extensions.
+const MAX_CHUNK_LINE: usize = 256;
+
+/// Names and values in the order of the message.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Headers(pub Vec<(SmolStr, Bytes)>);
+
+impl Headers {
+    /// The first value of a header as text.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        self.value(name).and_then(|v| std::str::from_utf8(v).ok())
+    }
+
+    /// The first value of a header.
+    pub fn value(&self, name: &str) -> Option<&Bytes> {
+        self.0.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v)
+    }
+
+    /// Whether a header is present.
+    pub fn has(&self, name: &str) -> bool {
+        self.value(name).is_some()
+    }
+
+    fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a Bytes> {
+        self.0.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v)
+    }
+
+    /// Whether a comma-separated header holds a token.
+    pub fn has_token(&self, name: &str, token: &str) -> bool {
+        self.all(name).any(|v| {
+            let text = std::str::from_utf8(v).unwrap_or_default();
+            text.split(',').any(|t| t.trim().eq_ignore_ascii_case(token))
+        })
+    }
+
+    /// The headers without those of one connection and without the framing.
+    pub fn end_to_end(&self) -> impl Iterator<Item = &(SmolStr, Bytes)> {
+        self.0.iter().filter(|(name, _)| {
+            let framing = ["content-length", "transfer-encoding"];
+            !HOP_BY_HOP.iter().chain(&framing).any(|h| name.eq_ignore_ascii_case(h))
+                && !self.has_token("connection", name)
+        })
+    }
+}
+
+/// How a body ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// No body.
+    Empty,
+    /// A known number of bytes.
+    Length(u64),
+    /// Chunks.
+    Chunked,
+    /// The end of the connection; only for responses.
+    Close,
+}
+
+/// Head of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RequestHead {
+    /// Method.
+    pub method: SmolStr,
+    /// Path and query.
+    pub target: SmolStr,
+    /// Headers.
+    pub headers: Headers,
+    /// How the body ends.
+    pub framing: Framing,
+    /// Whether the sender keeps the connection open.
+    pub keep_alive: bool,
+}
+
+/// Head of a response.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ResponseHead {
+    /// Status.
+    pub status: u16,
+    /// Headers.
+    pub headers: Headers,
+    /// How the body ends.
+    pub framing: Framing,
+    /// Whether the sender keeps the connection open.
+    pub keep_alive: bool,
+}
+
+/// Why bytes are not a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum HttpError {
+    /// The head is longer than allowed.
+    #[display("head too long")]
+    HeadTooLong,
+    /// The body is longer than allowed.
+    #[display("body too long")]
+    BodyTooLong,
+    /// The bytes do not follow the protocol.
+    #[display("malformed message")]
+    Malformed,
+}
+
+fn headers_of(parsed: &[httparse::Header<'_>]) -> Headers {
+    let copy = |h: &httparse::Header<'_>| (SmolStr::new(h.name), Bytes::copy_from_slice(h.value));
+    Headers(parsed.iter().map(copy).collect())
+}
+
+/// The length of a body; an error when the lengths are not numbers or differ.
+fn content_length(headers: &Headers) -> Result<Option<u64>, HttpError> {
+    let mut length = None;
+    for value in headers.all("content-length") {
+        let digits = value.iter().all(u8::is_ascii_digit) && !value.is_empty();
+        let text = std::str::from_utf8(value).ok().filter(|_| digits);
+        let parsed = text.and_then(|t| t.parse().ok()).ok_or(HttpError::Malformed)?;
+        if length.is_some_and(|l| l != parsed) {
+            return Err(HttpError::Malformed);
+        }
+        length = Some(parsed);
+    }
+    Ok(length)
+}
+
+/// Whether the body is in chunks. Any other coding is refused, because the framing is unknown then.
+fn is_chunked(headers: &Headers) -> Result<bool, HttpError> {
+    let mut codings = headers.all("transfer-encoding");
+    match (codings.next(), codings.next()) {
+        (None, _) => Ok(false),
+        (Some(coding), None) if coding.eq_ignore_ascii_case(b"chunked") => Ok(true),
+        _ => Err(HttpError::Malformed),
+    }
+}
+
+/// Parses the head of a request; returns it with its length in bytes, `None` when it is not whole.
+pub fn parse_request(
+    buf: &[u8],
+    max_bytes: usize,
+) -> Result<Option<(RequestHead, usize)>, HttpError> {
+    let mut parsed = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut parsed);
+    let used = match request.parse(&buf[..buf.len().min(max_bytes)]) {
+        Ok(httparse::Status::Complete(used)) => used,
+        Ok(httparse::Status::Partial) if buf.len() >= max_bytes => {
+            return Err(HttpError::HeadTooLong);
+        }
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(HttpError::HeadTooLong),
+        Err(_) => return Err(HttpError::Malformed),
+    };
+    let headers = headers_of(request.headers);
+    let length = content_length(&headers)?;
+    let chunked = is_chunked(&headers)?;
+    let version = request.version.ok_or(HttpError::Malformed)?;
+    // Both framings at once, or chunks in HTTP/1.0, are how requests are smuggled past a proxy.
+    if chunked && (length.is_some() || version == 0) {
+        return Err(HttpError::Malformed);
+    }
+    let target = request.path.ok_or(HttpError::Malformed)?;
+    let hosts = headers.all("host").count();
+    if !target.starts_with('/') || hosts > 1 || (hosts == 0 && version == 1) {
+        return Err(HttpError::Malformed);
+    }
+    let framing = match length {
+        _ if chunked => Framing::Chunked,
+        None | Some(0) => Framing::Empty,
+        Some(length) => Framing::Length(length),
+    };
+    let keep_alive = match version {
+        0 => headers.has_token("connection", "keep-alive"),
+        _ => !headers.has_token("connection", "close"),
+    };
+    let head = RequestHead {
+        method: SmolStr::new(request.method.ok_or(HttpError::Malformed)?),
+        target: SmolStr::new(target),
+        headers,
+        framing,
+        keep_alive,
+    };
+    Ok(Some((head, used)))
+}
+
+/// Parses the head of a response to a request with the given method.
+pub fn parse_response(
+    buf: &[u8],
+    method: &str,
+    max_bytes: usize,
+) -> Result<Option<(ResponseHead, usize)>, HttpError> {
+    let mut parsed = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut parsed);
+    let used = match response.parse(&buf[..buf.len().min(max_bytes)]) {
+        Ok(httparse::Status::Complete(used)) => used,
+        Ok(httparse::Status::Partial) if buf.len() >= max_bytes => {
+            return Err(HttpError::HeadTooLong);
+        }
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(HttpError::Malformed),
+    };
+    let headers = headers_of(response.headers);
+    let status = response.code.ok_or(HttpError::Malformed)?;
+    let length = content_length(&headers)?;
+    let chunked = is_chunked(&headers)?;
+    if chunked && length.is_some() {
+        return Err(HttpError::Malformed);
+    }
+    let bodyless = method == "HEAD" || matches!(status, 100..=199 | 204 | 304);
+    let framing = match length {
+        _ if bodyless => Framing::Empty,
+        _ if chunked => Framing::Chunked,
+        Some(0) => Framing::Empty,
+        Some(length) => Framing::Length(length),
+        None => Framing::Close,
+    };
+    let keep_alive = framing != Framing::Close
+        && response.version == Some(1)
+        && !headers.has_token("connection", "close");
+    Ok(Some((ResponseHead { status, headers, framing, keep_alive }, used)))
+}
+
+/// Collects a body from the bytes of a connection.
+#[derive(Debug)]
+pub struct BodyReader {
+    state: BodyState,
+    limit: u64,
+    body: BytesMut,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum BodyState {
+    Left(u64),
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailers,
+    UntilClose,
+    Done,
+}
+
+impl BodyReader {
+    /// Starts a body of at most `limit` bytes.
+    pub fn new(framing: Framing, limit: u64) -> Result<Self, HttpError> {
+        let state = match framing {
+            Framing::Empty => BodyState::Done,
+            Framing::Length(length) if length > limit => return Err(HttpError::BodyTooLong),
+            Framing::Length(length) => BodyState::Left(length),
+            Framing::Chunked => BodyState::ChunkSize,
+            Framing::Close => BodyState::UntilClose,
+        };
+        Ok(Self { state, limit, body: BytesMut::new() })
+    }
+
+    /// Bytes collected so far.
+    pub fn len(&self) -> usize {
+        self.body.len()
+    }
+
+    /// Whether nothing was collected so far.
+    pub fn is_empty(&self) -> bool {
+        self.body.is_empty()
+    }
+
+    /// Takes what belongs to the body from the front of `buf`; true when the body is whole.
+    pub fn take(&mut self, buf: &mut BytesMut) -> Result<bool, HttpError> {
+        loop {
+            match self.state {
+                BodyState::Done => return Ok(true),
+                BodyState::Left(left) | BodyState::ChunkData(left) => {
+                    let n = left.min(buf.len() as u64);
+                    self.collect(buf, n as usize)?;
+                    let chunked = matches!(self.state, BodyState::ChunkData(_));
+                    self.state = match (left - n, chunked) {
+                        (0, true) => BodyState::ChunkEnd,
+                        (0, false) => BodyState::Done,
+                        (left, true) => BodyState::ChunkData(left),
+                        (left, false) => BodyState::Left(left),
+                    };
+                    if left > n {
+                        return Ok(false);
+                    }
+                }
+                BodyState::UntilClose => {
+                    self.collect(buf, buf.len())?;
+                    return Ok(false);
+                }
+                BodyState::ChunkSize => match httparse::parse_chunk_size(buf) {
+                    Ok(httparse::Status::Complete((used, size))) => {
+                        let _ = buf.split_to(used);
+                        if size > self.limit {
+                            return Err(HttpError::BodyTooLong);
+                        }
+                        self.state = match size {
+                            0 => BodyState::Trailers,
+                            size => BodyState::ChunkData(size),
+                        };
+                    }
+                    Ok(httparse::Status::Partial) if buf.len() < MAX_CHUNK_LINE => {
+                        return Ok(false);
+                    }
+                    _ => return Err(HttpError::Malformed),
+                },
+                BodyState::ChunkEnd => {
+                    if buf.len() < 2 {
+                        return Ok(false);
+                    }
+                    if buf.split_to(2) != b"\r\n"[..] {
+                        return Err(HttpError::Malformed);
+                    }
+                    self.state = BodyState::ChunkSize;
+                }
+                BodyState::Trailers => {
+                    let Some(end) = buf.windows(2).position(|w| w == b"\r\n") else {
+                        let long = buf.len() > MAX_CHUNK_LINE;
+                        return if long { Err(HttpError::Malformed) } else { Ok(false) };
+                    };
+                    // Trailers concern one connection and are dropped.
+                    let _ = buf.split_to(end + 2);
+                    if end == 0 {
+                        self.state = BodyState::Done;
+                    }
+                }
+            }
+        }
+    }
+
+    /// The connection has ended in order; true when that makes the body whole.
+    pub fn close(&mut self) -> bool {
+        if self.state == BodyState::UntilClose {
+            self.state = BodyState::Done;
+        }
+        self.state == BodyState::Done
+    }
+
+    /// The body collected.
+    pub fn into_body(self) -> Bytes {
+        self.body.freeze()
+    }
+
+    fn collect(&mut self, buf: &mut BytesMut, n: usize) -> Result<(), HttpError> {
+        if (self.body.len() + n) as u64 > self.limit {
+            return Err(HttpError::BodyTooLong);
+        }
+        if self.body.is_empty() && n == buf.len() {
+            // The usual small body arrives at once and is not copied.
+            self.body = buf.split_to(n);
+        } else {
+            self.body.extend_from_slice(&buf.split_to(n));
+        }
+        Ok(())
+    }
+}
+
+/// Appends the head of a request whose body has `length` bytes. Names must be valid.
+pub fn write_request<'a>(
+    out: &mut BytesMut,
+    method: &str,
+    target: &str,
+    headers: impl Iterator<Item = (&'a str, &'a [u8])>,
+    length: Option<usize>,
+) {
+    out.extend_from_slice(method.as_bytes());
+    out.extend_from_slice(b" ");
+    out.extend_from_slice(target.as_bytes());
+    out.extend_from_slice(b" HTTP/1.1\r\n");
+    finish_head(out, headers, length);
+}
+
+/// Appends the head of a response whose body has `length` bytes.
+pub fn write_response<'a>(
+    out: &mut BytesMut,
+    status: u16,
+    headers: impl Iterator<Item = (&'a str, &'a [u8])>,
+    length: Option<usize>,
+) {
+    out.extend_from_slice(b"HTTP/1.1 ");
+    out.extend_from_slice(status.to_string().as_bytes());
+    out.extend_from_slice(b" ");
+    out.extend_from_slice(reason(status).as_bytes());
+    out.extend_from_slice(b"\r\n");
+    finish_head(out, headers, length);
+}
+
+fn finish_head<'a>(
+    out: &mut BytesMut,
+    headers: impl Iterator<Item = (&'a str, &'a [u8])>,
+    length: Option<usize>,
+) {
+    for (name, value) in headers {
+        out.extend_from_slice(name.as_bytes());
+        out.extend_from_slice(b": ");
+        out.extend_from_slice(value);
+        out.extend_from_slice(b"\r\n");
+    }
+    if let Some(length) = length {
+        out.extend_from_slice(b"Content-Length: ");
+        out.extend_from_slice(length.to_string().as_bytes());
+        out.extend_from_slice(b"\r\n");
+    }
+    out.extend_from_slice(b"\r\n");
+}
+
+fn reason(status: u16) -> &'static str {
+    let code = http::StatusCode::from_u16(status).ok();
+    code.and_then(|s| s.canonical_reason()).unwrap_or("Status")
+}
--- /dev/null
+++ b/crates/ibisroute/src/mesh/http_server.rs
@@ -0,0 +1,320 @@
+//! Serves HTTP/1.1 on a listener: one request at a time on a connection, bodies read whole.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use smol_str::SmolStr;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use super::http1;
+use super::http1::BodyReader;
+use super::http1::Framing;
+use super::http1::HttpError;
+use super::http1::RequestHead;
+use super::routes::ClientLimits;
+use crate::types::Millis;
+
+/// First size of a connection's buffer. Most heads are shorter.
+const BUFFER_BYTES: usize = 2 * 1024;
+
+/// Largest read of a long body at a time.
+const READ_BYTES: usize = 64 * 1024;
+
+/// Pause after a failed accept, for example without free descriptors; ending connections make room.
+const ACCEPT_PAUSE: Millis = Millis(20);
+
+/// Longest time that unread bytes of a refused request are read and dropped. A close with unread bytes
+/// resets the connection, and the reset can overtake the answer.
+const LINGER: Millis = Millis(500);
+
+/// A whole request.
+#[derive(Debug)]
+pub struct Request {
+    /// Head.
+    pub head: RequestHead,
+    /// Body.
+    pub body: Bytes,
+    /// When its head was whole.
+    pub arrived: Instant,
+}
+
+/// A whole response.
+#[derive(Clone, Debug)]
+pub struct Response {
+    /// Status.
+    pub status: u16,
+    /// Headers without the framing.
+    pub headers: Vec<(SmolStr, Bytes)>,
+    /// Body.
+    pub body: Bytes,
+    /// Whether it answers HEAD: the length of the body that GET would have is not told.
+    pub head_only: bool,
+    /// Whether the connection ends after it.
+    pub close: bool,
+}
+
+impl Response {
+    /// A response without headers and body.
+    pub fn status(status: u16) -> Self {
+        Self { status, headers: Vec::new(), body: Bytes::new(), head_only: false, close: false }
+    }
+
+    /// Adds a header.
+    pub fn with(mut self, name: &'static str, value: impl Into<Bytes>) -> Self {
+        self.headers.push((SmolStr::new_static(name), value.into()));
+        self
+    }
+}
+
+/// What a listener serves.
+pub trait Handler {
+    /// Limits on callers.
+    fn limits(&self) -> ClientLimits;
+
+    /// Answers a request from its head alone, before its body is read.
+    fn refuse_early(&self, head: &RequestHead) -> Option<Response>;
+
+    /// Answers a request. The future is dropped when the caller leaves.
+    fn handle(self: Rc<Self>, req: Request) -> impl Future<Output = Response>;
+
+    /// Whether connections end after their next answer.
+    fn is_closing(&self) -> bool;
+
+    /// A request ended without a whole answer because its caller left.
+    fn caller_left(&self) {}
+}
+
+/// Accepts connections until the future is dropped.
+pub async fn serve<H: Handler + 'static>(
+    listener: TcpListener,
+    handler: Rc<H>,
+    open: Rc<Cell<usize>>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let guard = OpenGuard::new(open.clone());
+                let handler = handler.clone();
+                actix_rt::spawn(async move {
+                    let _guard = guard;
+                    // The caller has gone when its connection fails; there is nobody to tell.
+                    let _ = Connection::new(stream).run(handler).await;
+                });
+            }
+            Err(_) => sleep(ACCEPT_PAUSE.to_duration()).await,
+        }
+    }
+}
+
+/// Counts an open connection.
+struct OpenGuard(Rc<Cell<usize>>);
+
+impl OpenGuard {
+    fn new(open: Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open)
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+struct Connection {
+    stream: TcpStream,
+    buf: BytesMut,
+}
+
+enum Read {
+    Head(Box<RequestHead>),
+    /// The caller closed, or stayed idle, between requests.
+    Ended,
+    Refused(Response),
+}
+
+impl Connection {
+    fn new(stream: TcpStream) -> Self {
+        // The default of delayed small packets would hold back answers.
+        let _ = stream.set_nodelay(true);
+        Self { stream, buf: BytesMut::with_capacity(BUFFER_BYTES) }
+    }
+
+    async fn run<H: Handler>(mut self, handler: Rc<H>) -> io::Result<()> {
+        loop {
+            let limits = handler.limits();
+            let head = match self.read_head(&limits).await? {
+                Read::Head(head) => head,
+                Read::Ended => return Ok(()),
+                Read::Refused(response) => return self.refuse(response).await,
+            };
+            let arrived = Instant::now();
+            if let Some(response) = handler.refuse_early(&head) {
+                if head.framing == Framing::Empty {
+                    let close = response.close || !head.keep_alive || handler.is_closing();
+                    self.respond(response, close).await?;
+                    if close {
+                        return self.linger().await;
+                    }
+                    continue;
+                }
+                return self.refuse(response).await;
+            }
+            let body = match self.read_body(&head, &limits).await? {
+                Ok(body) => body,
+                Err(response) => return self.refuse(response).await,
+            };
+            let keep_alive = head.keep_alive;
+            let request = Request { head: *head, body, arrived };
+            let response = {
+                let handling = std::pin::pin!(handler.clone().handle(request));
+                tokio::select! {
+                    biased;
+                    response = handling => Some(response),
+                    _ = caller_gone(&mut self.stream, &mut self.buf) => None,
+                }
+            };
+            let Some(response) = response else {
+                handler.caller_left();
+                return Ok(());
+            };
+            let close = response.close || !keep_alive || handler.is_closing();
+            self.respond(response, close).await?;
+            if close {
+                return self.linger().await;
+            }
+        }
+    }
+
+    async fn read_head(&mut self, limits: &ClientLimits) -> io::Result<Read> {
+        let max = limits.header_bytes.0 as usize;
+        let mut first_byte: Option<Instant> = None;
+        loop {
+            // Some callers send an empty line between requests.
+            while self.buf.starts_with(b"\r\n") {
+                let _ = self.buf.split_to(2);
+            }
+            match http1::parse_request(&self.buf, max) {
+                Ok(Some((head, used))) => {
+                    let _ = self.buf.split_to(used);
+                    return Ok(Read::Head(Box::new(head)));
+                }
+                Ok(None) => {}
+                Err(HttpError::HeadTooLong) => return Ok(Read::Refused(Response::status(431))),
+                Err(_) => return Ok(Read::Refused(Response::status(400))),
+            }
+            if !self.buf.is_empty() && first_byte.is_none() {
+                first_byte = Some(Instant::now());
+            }
+            let limit = match first_byte {
+                Some(at) => limits.header_timeout.to_duration().saturating_sub(at.elapsed()),
+                None => limits.idle_timeout.to_duration(),
+            };
+            self.buf.reserve(BUFFER_BYTES);
+            match timeout(limit, self.stream.read_buf(&mut self.buf)).await {
+                Ok(Ok(0)) => return Ok(Read::Ended),
+                Ok(Ok(_)) => {}
+                Ok(Err(e)) => return Err(e),
+                Err(_) if first_byte.is_some() => {
+                    return Ok(Read::Refused(Response::status(408)));
+                }
+                Err(_) => return Ok(Read::Ended),
+            }
+        }
+    }
+
+    async fn read_body(
+        &mut self,
+        head: &RequestHead,
+        limits: &ClientLimits,
+    ) -> io::Result<Result<Bytes, Response>> {
+        let refusal = |e: HttpError| match e {
+            HttpError::BodyTooLong => Response::status(413),
+            _ => Response::status(400),
+        };
+        let mut body = match BodyReader::new(head.framing, limits.body_bytes.0) {
+            Ok(body) => body,
+            Err(e) => return Ok(Err(refusal(e))),
+        };
+        if head.headers.has_token("expect", "100-continue") && head.framing != Framing::Empty {
+            self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+        }
+        loop {
+            match body.take(&mut self.buf) {
+                Ok(true) => return Ok(Ok(body.into_body())),
+                Ok(false) => {}
+                Err(e) => return Ok(Err(refusal(e))),
+            }
+            self.buf.reserve(if body.is_empty() { BUFFER_BYTES } else { READ_BYTES });
+            let idle = limits.idle_timeout.to_duration();
+            match timeout(idle, self.stream.read_buf(&mut self.buf)).await {
+                Ok(Ok(0)) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(Ok(_)) => {}
+                Ok(Err(e)) => return Err(e),
+                Err(_) => return Ok(Err(Response::status(408))),
+            }
+        }
+    }
+
+    async fn respond(&mut self, response: Response, close: bool) -> io::Result<()> {
+        let mut out = BytesMut::with_capacity(512 + response.body.len());
+        let headers = response.headers.iter().map(|(n, v)| (n.as_str(), &v[..]));
+        let closing: &[u8] = b"close";
+        let connection = close.then_some(("Connection", closing));
+        let bodyless = response.head_only || matches!(response.status, 100..=199 | 204 | 304);
+        let length = (!bodyless).then_some(response.body.len());
+        http1::write_response(&mut out, response.status, headers.chain(connection), length);
+        out.extend_from_slice(&response.body);
+        self.stream.write_all(&out).await?;
+        if self.buf.is_empty() && self.buf.capacity() > 2 * BUFFER_BYTES {
+            // Idle connections do not keep the memory of a long body.
+            self.buf = BytesMut::new();
+        }
+        Ok(())
+    }
+
+    /// Answers a request whose body was not read whole, and closes.
+    async fn refuse(mut self, response: Response) -> io::Result<()> {
+        self.respond(response, true).await?;
+        self.linger().await
+    }
+
+    /// Closes the writing side and drops what the caller still sends.
+    async fn linger(&mut self) -> io::Result<()> {
+        self.stream.shutdown().await?;
+        let drained = async {
+            let mut buf = BytesMut::with_capacity(BUFFER_BYTES);
+            while self.stream.read_buf(&mut buf).await? > 0 {
+                buf.clear();
+            }
+            Ok(())
+        };
+        timeout(LINGER.to_duration(), drained).await.unwrap_or(Ok(()))
+    }
+}
+
+/// Ends when the caller closes its side. Bytes of its next request stay in the buffer.
+async fn caller_gone(stream: &mut TcpStream, buf: &mut BytesMut) {
+    loop {
+        buf.reserve(BUFFER_BYTES);
+        if buf.len() > READ_BYTES {
+            // A caller that sends many requests ahead waits for its answers.
+            return std::future::pending().await;
+        }
+        match stream.read_buf(buf).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/src/mesh/listeners.rs
@@ -0,0 +1,168 @@
+//! What the node serves besides requests of callers: heartbeats, readiness, metrics.
+
+use std::rc::Rc;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use super::decision_log::Stream;
+use super::http_server::Handler;
+use super::http_server::Request;
+use super::http_server::Response;
+use super::http1::RequestHead;
+use super::node::Node;
+use super::registry::Change;
+use super::routes::ClientLimits;
+use crate::events::mesh as codes;
+use crate::platform::headers;
+use crate::platform::heartbeat;
+use crate::types::ByteSize;
+use crate::types::InstanceId;
+
+/// Longest body of a heartbeat or another control request.
+const CONTROL_BODY: ByteSize = ByteSize(64 * 1024);
+
+fn control_limits() -> ClientLimits {
+    ClientLimits { body_bytes: CONTROL_BODY, ..ClientLimits::default() }
+}
+
+/// Serves heartbeats of the target beside the node.
+pub struct Heartbeats {
+    /// The node.
+    pub node: Rc<Node>,
+}
+
+impl Heartbeats {
+    fn beat(&self, id: InstanceId, body: &[u8]) -> Response {
+        let node = &self.node;
+        let now = node.clock.now();
+        let beat = match heartbeat::decode(body) {
+            Ok(beat) => beat,
+            Err(e) => {
+                let fields = [("target", id.as_str().into()), ("error", e.to_string().into())];
+                node.log.line(now, Stream::Other, &codes::HEARTBEAT_REFUSED, &fields);
+                return Response::status(400);
+            }
+        };
+        let fields = [
+            ("target", id.as_str().into()),
+            ("service", beat.service.as_str().into()),
+            ("version", beat.version.as_str().into()),
+            ("slots", beat.slots.into()),
+            ("born", beat.born.0.into()),
+            ("sequence", beat.sequence.into()),
+        ];
+        let code = match node.target.hear(id, beat) {
+            Change::Refreshed => None,
+            Change::Stale => Some(&codes::HEARTBEAT_STALE),
+            Change::Started => Some(&codes::TARGET_STARTED),
+            Change::Updated => Some(&codes::TARGET_UPDATED),
+            Change::Leaving => Some(&codes::TARGET_LEAVING),
+        };
+        if let Some(code) = code {
+            node.log.line(now, Stream::Other, code, &fields);
+            node.collect_evidence();
+            node.status_changed.notify_one();
+        }
+        acknowledged()
+    }
+
+    fn leave(&self, id: &InstanceId, body: &[u8]) -> Response {
+        let node = &self.node;
+        if node.target.leave(id, heartbeat::decode_leave(body)) {
+            let fields = [("target", id.as_str().into()), ("left", true.into())];
+            node.log.line(node.clock.now(), Stream::Other, &codes::TARGET_LEAVING, &fields);
+            node.status_changed.notify_one();
+        }
+        acknowledged()
+    }
+}
+
+fn acknowledged() -> Response {
+    let mut response = Response::status(200).with("Content-Type", "application/json");
+    response.body = "{}".into();
+    response
+}
+
+impl Handler for Heartbeats {
+    fn limits(&self) -> ClientLimits {
+        control_limits()
+    }
+
+    fn refuse_early(&self, _head: &RequestHead) -> Option<Response> {
+        None
+    }
+
+    async fn handle(self: Rc<Self>, req: Request) -> Response {
+        let path = req.head.target.split('?').next().unwrap_or_default();
+        let Some(id) = heartbeat::instance_of_path(path) else { return Response::status(404) };
+        match req.head.method.as_str() {
+            "PUT" => self.beat(id, &req.body),
+            "DELETE" => self.leave(&id, &req.body),
+            _ => Response::status(405),
+        }
+    }
+
+    fn is_closing(&self) -> bool {
+        false
+    }
+}
+
+/// Serves readiness checks.
+pub struct Readiness {
+    /// The node.
+    pub node: Rc<Node>,
+}
+
+impl Handler for Readiness {
+    fn limits(&self) -> ClientLimits {
+        control_limits()
+    }
+
+    fn refuse_early(&self, _head: &RequestHead) -> Option<Response> {
+        None
+    }
+
+    async fn handle(self: Rc<Self>, req: Request) -> Response {
+        match (req.head.target.as_str(), self.node.is_ready()) {
+            (headers::READY_PATH, true) => Response::status(200),
+            (headers::READY_PATH, false) => Response::status(503),
+            _ => Response::status(404),
+        }
+    }
+
+    fn is_closing(&self) -> bool {
+        false
+    }
+}
+
+/// Serves counters and histograms.
+pub struct Metrics {
+    /// The recorder.
+    pub recorder: PrometheusHandle,
+    /// The node.
+    pub node: Rc<Node>,
+}
+
+impl Handler for Metrics {
+    fn limits(&self) -> ClientLimits {
+        control_limits()
+    }
+
+    fn refuse_early(&self, _head: &RequestHead) -> Option<Response> {
+        None
+    }
+
+    async fn handle(self: Rc<Self>, _req: Request) -> Response {
+        let load = self.node.target.load();
+        metrics::gauge!("ibis_target_running").set(f64::from(load.running));
+        metrics::gauge!("ibis_target_waiting").set(f64::from(load.waiting));
+        metrics::gauge!("ibis_peers_reached").set(self.node.peers.live() as f64 - 1.0);
+        let mut response = Response::status(200).with("Content-Type", "text/plain; version=0.0.4");
+        response.body = self.recorder.render().into();
+        response
+    }
+
+    fn is_closing(&self) -> bool {
+        false
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/src/mesh/picker.rs
@@ -0,0 +1,185 @@
+//! Choice of the target of a request among those of a service.
+
+use std::collections::HashMap;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::slot_queue::Load;
+use crate::types::Millis;
+use crate::types::NodeId;
+
+/// Settings of the choice.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PickerSettings {
+    /// Extra cost of a target in another data centre.
+    pub cross_cost: Millis,
+    /// Extra cost of a target in another data centre for each kilobyte of the request, in
+    /// milliseconds. Bytes between data centres are billed, so large bodies stay near.
+    pub cross_cost_ms_per_kb: f64,
+    /// Bound of the extra cost for the bytes of a request, as a share of the time to its aim.
+    pub cross_cost_share: f64,
+    /// Cost of a certain failure, as a multiple of the time to the aim.
+    pub failure_cost: f64,
+    /// Multiple of the service time while a target is slow from its start.
+    pub cold_factor: f64,
+    /// Targets compared for a request when a service has more.
+    pub compared: usize,
+    /// Time for which a target that refused or failed a connection is avoided.
+    pub avoid: Millis,
+    /// Extra cost, as a multiple of the service time, of a target whose slots are all in use.
+    pub busy_cost: f64,
+}
+
+impl Default for PickerSettings {
+    fn default() -> Self {
+        Self {
+            cross_cost: Millis(12),
+            cross_cost_ms_per_kb: 2.0,
+            cross_cost_share: 0.5,
+            failure_cost: 2.0,
+            cold_factor: 2.0,
+            compared: 12,
+            avoid: Millis(300),
+            busy_cost: 0.5,
+        }
+    }
+}
+
+/// A target that may take the request.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// Node beside the target.
+    pub node: NodeId,
+    /// Whether the target is in this node's data centre.
+    pub near: bool,
+    /// Whether the target is still slow from its start.
+    pub cold: bool,
+    /// Load as its node last told it.
+    pub load: Load,
+}
+
+/// What this node knows of a target beyond its last report.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    /// Requests of this node that are out.
+    outstanding: u32,
+    /// Requests of this node that were out at the last report.
+    reported_outstanding: u32,
+    avoid_until: Millis,
+}
+
+/// Chooses targets by the expected time to an answer.
+#[derive(Debug)]
+pub struct Picker {
+    cfg: PickerSettings,
+    seen: HashMap<NodeId, Seen>,
+    rng: SmallRng,
+}
+
+/// What decides on a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    /// Current time.
+    pub now: Millis,
+    /// Time to the aim of the request.
+    pub to_aim: Millis,
+    /// Bytes that cross data centres for it.
+    pub bytes: usize,
+}
+
+impl Picker {
+    /// A picker that knows no target.
+    pub fn new(cfg: PickerSettings, rng: SmallRng) -> Self {
+        Self { cfg, seen: HashMap::new(), rng }
+    }
+
+    /// Chooses a target; `None` when there is no candidate.
+    pub fn choose(&mut self, ask: Ask, candidates: &[Candidate]) -> Option<NodeId> {
+        let mut picked: Vec<usize> = (0..candidates.len()).collect();
+        if candidates.len() > self.cfg.compared {
+            // Targets of the own data centre first, the rest at random.
+            for i in (1..picked.len()).rev() {
+                picked.swap(i, self.rng.random_range(0..=i));
+            }
+            picked.sort_by_key(|i| !candidates[*i].near);
+            let near = picked.iter().take_while(|i| candidates[**i].near).count();
+            let kept = near.min(self.cfg.compared / 2);
+            let far: Vec<usize> = picked[near..].iter().copied().collect();
+            picked.truncate(kept);
+            picked.extend(far.into_iter().take(self.cfg.compared - kept));
+        }
+        picked
+            .into_iter()
+            .map(|i| {
+                let scatter = 1.0 + self.rng.random::<f64>() * 0.05;
+                (self.cost_ms(ask, &candidates[i]) * scatter, i)
+            })
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, i)| candidates[i].node.clone())
+    }
+
+    /// Counts a request that goes to a target.
+    pub fn sent(&mut self, node: &NodeId) {
+        self.seen.entry(node.clone()).or_default().outstanding += 1;
+    }
+
+    /// Counts a request that has ended.
+    pub fn ended(&mut self, node: &NodeId) {
+        if let Some(seen) = self.seen.get_mut(node) {
+            seen.outstanding = seen.outstanding.saturating_sub(1);
+        }
+    }
+
+    /// A report of the target's load arrived.
+    pub fn reported(&mut self, node: &NodeId) {
+        let seen = self.seen.entry(node.clone()).or_default();
+        seen.reported_outstanding = seen.outstanding;
+    }
+
+    /// A report came with the outcome of a request that is still counted as out.
+    pub fn reported_after_end(&mut self, node: &NodeId) {
+        let seen = self.seen.entry(node.clone()).or_default();
+        seen.reported_outstanding = seen.outstanding.saturating_sub(1);
+    }
+
+    /// Avoids a target for a while.
+    pub fn avoid(&mut self, now: Millis, node: &NodeId) {
+        let until = Millis(now.0 + self.cfg.avoid.0);
+        self.seen.entry(node.clone()).or_default().avoid_until = until;
+    }
+
+    /// Forgets a target whose node is gone.
+    pub fn forget(&mut self, node: &NodeId) {
+        self.seen.remove(node);
+    }
+
+    /// Expected time to an answer, with the extra costs, in milliseconds.
+    pub fn cost_ms(&self, ask: Ask, candidate: &Candidate) -> f64 {
+        let cfg = &self.cfg;
+        let load = candidate.load;
+        let seen = self.seen.get(&candidate.node).copied().unwrap_or_default();
+        let reported = f64::from(load.running + load.waiting);
+        let others = (reported - f64::from(seen.reported_outstanding)).max(0.0);
+        let total = others + f64::from(seen.outstanding);
+        let slots = f64::from(load.slots.max(1));
+        let service =
+            f64::from(load.service_ms) * if candidate.cold { cfg.cold_factor } else { 1.0 };
+        let over = (total + 1.0 - slots).max(0.0) / slots;
+        let busy = cfg.busy_cost * (total / slots).min(1.0).powi(4);
+        let to_aim = ask.to_aim.0 as f64;
+        let mut cost = service * (1.0 + over + busy);
+        if !candidate.near {
+            let bytes = ask.bytes as f64 / 1024.0 * cfg.cross_cost_ms_per_kb;
+            cost += cfg.cross_cost.0 as f64 + bytes.min(to_aim * cfg.cross_cost_share);
+        }
+        cost += f64::from(load.failing) * cfg.failure_cost * to_aim;
+        if ask.now < seen.avoid_until {
+            cost += 10.0 * to_aim + 1.0;
+        }
+        cost
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/src/mesh/proxy.rs
@@ -0,0 +1,542 @@
+//! A request at the node of its caller: route, choice of target, attempts and final answer.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use serde_json::Value;
+use smol_str::SmolStr;
+use tokio::time::timeout_at;
+
+use super::decision_log::Stream;
+use super::frames::Failure;
+use super::frames::ForwardHead;
+use super::frames::Outcome;
+use super::http_server::Handler;
+use super::http_server::Request;
+use super::http_server::Response;
+use super::http1::RequestHead;
+use super::local_target;
+use super::node::Node;
+use super::picker::Ask;
+use super::picker::Candidate;
+use super::registry::InstanceRecord;
+use super::registry::LifeState;
+use super::rollout::Gate;
+use super::routes::ClientLimits;
+use super::routes::Route;
+use super::routes::RouteTable;
+use super::slot_queue::RefusalReason;
+use crate::events::EventCode;
+use crate::events::mesh as codes;
+use crate::platform::headers;
+use crate::types::Millis;
+use crate::types::NodeId;
+use crate::types::ServiceName;
+use crate::types::VersionName;
+
+/// Hand-backs of one request after which it is refused. Each one costs a round trip between nodes.
+const MAX_HAND_BACKS: u32 = 3;
+
+/// Time to a target's node and back that is kept from the deadline told to it, so that its answer
+/// arrives before this node gives up.
+const HOP_MARGIN: Millis = Millis(3);
+
+/// Advice to a refused caller when no queue told how long its wait would be.
+const DEFAULT_RETRY_AFTER: Millis = Millis(150);
+
+/// Part of the remaining time that a refused caller is told to wait at most. Callers wait at most a
+/// third of it.
+const RETRY_AFTER_SHARE: f64 = 0.3;
+
+/// An outcome that proves that nothing was sent.
+pub fn unreachable() -> Outcome {
+    Outcome::Refused { reason: RefusalReason::Unreachable, retry_after_ms: 0 }
+}
+
+/// Serves callers.
+pub struct Proxy {
+    /// The node.
+    pub node: Rc<Node>,
+}
+
+/// Counts a request until its answer is made.
+struct InFlight<'a>(&'a Cell<usize>);
+
+impl<'a> InFlight<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Counts the bytes of a body that is held.
+struct HeldBytes<'a>(&'a Cell<usize>, usize);
+
+impl<'a> HeldBytes<'a> {
+    fn new(held: &'a Cell<usize>, bytes: usize) -> Self {
+        held.set(held.get() + bytes);
+        Self(held, bytes)
+    }
+}
+
+impl Drop for HeldBytes<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - self.1);
+    }
+}
+
+/// Counts a request that is out to a target.
+struct Out<'a>(&'a Node, &'a NodeId);
+
+impl<'a> Out<'a> {
+    fn new(node: &'a Node, to: &'a NodeId) -> Self {
+        node.picker.borrow_mut().sent(to);
+        Self(node, to)
+    }
+}
+
+impl Drop for Out<'_> {
+    fn drop(&mut self) {
+        self.0.picker.borrow_mut().ended(self.1);
+    }
+}
+
+impl Handler for Proxy {
+    fn limits(&self) -> ClientLimits {
+        self.node.config().map_or_else(ClientLimits::default, |c| c.limits)
+    }
+
+    fn refuse_early(&self, head: &RequestHead) -> Option<Response> {
+        let node = &self.node;
+        let refuse = |status, reason: &'static str| {
+            node.log_request(
+                &codes::REQUEST_REFUSED,
+                head,
+                &[("status", status), ("reason", reason.into())],
+            );
+        };
+        let Some(config) = node.config() else {
+            refuse(503.into(), "no configuration");
+            return Some(node.not_run(head, None, None));
+        };
+        if node.refuses_new() {
+            refuse(503.into(), "stopping");
+            return Some(node.not_run(head, None, None));
+        }
+        if !head.headers.has(headers::REQUEST_ID) {
+            refuse(400.into(), "no request id");
+            return Some(Response::status(400));
+        }
+        let host = head.headers.text("host").unwrap_or_default();
+        if config.find(host, &head.target).is_none() {
+            refuse(404.into(), "no route");
+            return Some(echo_id(Response::status(404), head));
+        }
+        let limit = node.body_limit();
+        let long = match head.framing {
+            super::http1::Framing::Length(n) => n as usize,
+            _ => 0,
+        };
+        if long > 0 && node.held_bytes.get() + long > limit {
+            refuse(503.into(), "memory");
+            return Some(node.not_run(head, None, None));
+        }
+        None
+    }
+
+    async fn handle(self: Rc<Self>, req: Request) -> Response {
+        let node = &self.node;
+        let _in_flight = InFlight::new(&node.in_flight);
+        let _held = HeldBytes::new(&node.held_bytes, req.body.len());
+        let Some(config) = node.config() else { return node.not_run(&req.head, None, None) };
+        let host = req.head.headers.text("host").unwrap_or_default();
+        // The configuration may have changed while the body arrived.
+        let Some(route) = config.find(host, &req.head.target) else {
+            return echo_id(Response::status(404), &req.head);
+        };
+        let call = Call::new(node, &config, route, &req);
+        let response = call.run().await;
+        call.done.set(true);
+        response
+    }
+
+    fn is_closing(&self) -> bool {
+        self.node.leaving.get()
+    }
+}
+
+fn echo_id(response: Response, head: &RequestHead) -> Response {
+    match head.headers.value(headers::REQUEST_ID) {
+        Some(id) => response.with(headers::REQUEST_ID, id.clone()),
+        None => response,
+    }
+}
+
+/// A target that may take a request.
+#[derive(Clone, Debug)]
+struct Choice {
+    node: NodeId,
+    record: InstanceRecord,
+}
+
+/// One request of a caller.
+struct Call<'a> {
+    node: &'a Rc<Node>,
+    config: &'a Arc<RouteTable>,
+    route: &'a Route,
+    req: &'a Request,
+    id: SmolStr,
+    aim: Instant,
+    deadline: Instant,
+    sends: Cell<u32>,
+    done: Cell<bool>,
+}
+
+impl Drop for Call<'_> {
+    fn drop(&mut self) {
+        if !self.done.get() {
+            self.log(Stream::Other, &codes::REQUEST_ABANDONED, &[]);
+            metrics::counter!("ibis_requests_total", "end" => "abandoned").increment(1);
+        }
+    }
+}
+
+impl<'a> Call<'a> {
+    fn new(
+        node: &'a Rc<Node>,
+        config: &'a Arc<RouteTable>,
+        route: &'a Route,
+        req: &'a Request,
+    ) -> Self {
+        let headers = &req.head.headers;
+        let patience =
+            headers.text(headers::DEADLINE_MS).and_then(|t| t.trim().parse::<f64>().ok());
+        let patience = patience.filter(|ms| ms.is_finite() && *ms >= 0.0);
+        let timeout = route.timeout.to_duration();
+        let total = patience.map_or(timeout, |ms| timeout.min(Millis(ms as u64).to_duration()));
+        // A caller that comes back after a refusal has less time left than at first; its aim began
+        // with its first try.
+        let spent = node.spent_before(&route.name, patience);
+        Self {
+            node,
+            config,
+            route,
+            req,
+            id: SmolStr::new(headers.text(headers::REQUEST_ID).unwrap_or_default()),
+            aim: req.arrived + route.aim.to_duration().saturating_sub(spent.to_duration()),
+            deadline: req.arrived + total,
+            sends: Cell::new(0),
+            done: Cell::new(false),
+        }
+    }
+
+    fn left(&self) -> Millis {
+        self.deadline.saturating_duration_since(Instant::now()).into()
+    }
+
+    async fn run(&self) -> Response {
+        let now = self.node.clock.now();
+        let start = self.node.random();
+        let Some(service) = self.node.splits.borrow_mut().choose(self.route, start).cloned() else {
+            return self.refuse("no service", None);
+        };
+        self.node.count_request(&service, now);
+        let mut tried: Vec<NodeId> = Vec::new();
+        let mut hand_backs = 0;
+        let mut hint: Option<Millis> = None;
+        let draw = self.node.random();
+        loop {
+            if self.left() <= HOP_MARGIN {
+                return match self.sends.get() {
+                    0 => self.refuse("deadline", hint),
+                    _ => self.fail(504, "deadline"),
+                };
+            }
+            let Some(choice) = self.choose(&service, &tried, draw) else {
+                let reason = if tried.is_empty() { "no target" } else { "no other target" };
+                return self.refuse(reason, hint);
+            };
+            tried.push(choice.node.clone());
+            let (outcome, late) = self.attempt(&choice).await;
+            match outcome {
+                Outcome::Answer { status, headers, body, .. } => {
+                    let again = status >= 500
+                        && self.route.kind.is_repeatable()
+                        && self.count_send()
+                        && self.may_repeat(&service);
+                    if !again {
+                        return self.answer(&choice, status, headers, body);
+                    }
+                    self.log_attempt(&choice, "failure of the target");
+                }
+                Outcome::Refused { reason: RefusalReason::Rejected, .. } => {
+                    self.log_attempt(&choice, "rejected by the target");
+                    self.avoid(&choice);
+                    if !(self.count_send() && self.may_repeat(&service)) {
+                        return self.refuse("rejected by the target", hint);
+                    }
+                }
+                Outcome::Refused { reason, retry_after_ms } => {
+                    self.log_attempt(&choice, refusal_text(reason));
+                    if reason == RefusalReason::Overloaded {
+                        let back = Millis(u64::from(retry_after_ms));
+                        hint = Some(hint.map_or(back, |h| h.min(back)));
+                    } else {
+                        self.avoid(&choice);
+                    }
+                    hand_backs += 1;
+                    if hand_backs >= MAX_HAND_BACKS {
+                        return self.refuse(refusal_text(reason), hint);
+                    }
+                }
+                Outcome::Failed(failure) => {
+                    let again = self.route.kind.is_repeatable()
+                        && self.count_send()
+                        && !late
+                        && self.may_repeat(&service);
+                    self.log_attempt(&choice, failure_text(failure));
+                    if !again {
+                        let status = if failure == Failure::Deadline { 504 } else { 502 };
+                        return self.fail(status, failure_text(failure));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Counts a send to a target; false when the route allows no further one.
+    fn count_send(&self) -> bool {
+        self.sends.set(self.sends.get() + 1);
+        self.sends.get() < self.route.max_attempts
+    }
+
+    /// Whether there is time and budget for another send.
+    fn may_repeat(&self, service: &ServiceName) -> bool {
+        self.left() > Millis(2 * HOP_MARGIN.0) && self.node.take_repeat(service)
+    }
+
+    fn avoid(&self, choice: &Choice) {
+        let now = self.node.clock.now();
+        self.node.picker.borrow_mut().avoid(now, &choice.node);
+    }
+
+    /// Sends the request to a target. The second value tells that the deadline has passed.
+    async fn attempt(&self, choice: &Choice) -> (Outcome, bool) {
+        let millis = |d: Millis| u32::try_from(d.0).unwrap_or(u32::MAX);
+        let to_aim: Millis = self.aim.saturating_duration_since(Instant::now()).into();
+        let head = ForwardHead {
+            request_id: self.id.clone(),
+            route: self.route.name.clone(),
+            repeatable: self.route.kind.is_repeatable(),
+            priority: self.route.priority,
+            aim_ms: millis(to_aim),
+            deadline_ms: millis(Millis(self.left().0.saturating_sub(HOP_MARGIN.0))),
+            instance: choice.record.id.clone(),
+            caller: self.node.service_name(),
+            method: self.req.head.method.clone(),
+            target: self.req.head.target.clone(),
+            headers: local_target::forwarded_headers(&self.req.head.headers),
+        };
+        let body = self.req.body.clone();
+        let _out = Out::new(self.node, &choice.node);
+        let sent = timeout_at(self.deadline.into(), self.node.send(&choice.node, head, body));
+        match sent.await {
+            Ok(outcome) => (outcome, false),
+            Err(_) => (Outcome::Failed(Failure::Deadline), true),
+        }
+    }
+
+    fn choose(&self, service: &ServiceName, tried: &[NodeId], draw: f64) -> Option<Choice> {
+        let node = self.node;
+        let now = node.clock.now();
+        let gate = node.gate(service, now);
+        let mut all = node.candidates(service);
+        all.retain(|(c, _)| !tried.contains(&c.node));
+        let of = |wanted: &dyn Fn(&VersionName) -> bool| -> Vec<(Candidate, InstanceRecord)> {
+            all.iter().filter(|(_, r)| wanted(&r.version)).cloned().collect()
+        };
+        let allowed = match &gate {
+            Gate::Open => all,
+            Gate::Only(version) => of(&|v| v == version),
+            Gate::Without(version) => of(&|v| v != version),
+            Gate::Share(version, share) => {
+                // A repeat goes to the old version, which is known to serve.
+                let new = draw < *share && (tried.is_empty() || *share >= 1.0);
+                let first = of(&|v| (v == version) == new);
+                if first.is_empty() { of(&|v| (v == version) != new) } else { first }
+            }
+        };
+        let to_aim = self.aim.saturating_duration_since(Instant::now()).into();
+        let ask = Ask { now, to_aim, bytes: self.req.body.len() };
+        let candidates: Vec<Candidate> = allowed.iter().map(|(c, _)| c.clone()).collect();
+        let chosen = node.picker.borrow_mut().choose(ask, &candidates)?;
+        let (_, record) = allowed.into_iter().find(|(c, _)| c.node == chosen)?;
+        Some(Choice { node: chosen, record })
+    }
+
+    fn answer(
+        &self,
+        choice: &Choice,
+        status: u16,
+        headers: Vec<(SmolStr, Bytes)>,
+        body: Bytes,
+    ) -> Response {
+        let took = self.req.arrived.elapsed();
+        metrics::counter!("ibis_requests_total", "end" => "served").increment(1);
+        metrics::histogram!("ibis_request_seconds").record(took.as_secs_f64());
+        self.log(
+            Stream::Served,
+            &codes::REQUEST_SERVED,
+            &[
+                ("status", status.into()),
+                ("target", choice.record.id.as_str().into()),
+                ("node", choice.node.as_str().into()),
+            ],
+        );
+        let head_only = self.req.head.method == "HEAD";
+        Response { status, headers, body, head_only, close: false }
+    }
+
+    fn refuse(&self, reason: &str, hint: Option<Millis>) -> Response {
+        metrics::counter!("ibis_requests_total", "end" => "refused").increment(1);
+        let fields = [("status", 503.into()), ("reason", reason.into())];
+        self.log(Stream::Other, &codes::REQUEST_REFUSED, &fields);
+        self.node.not_run(&self.req.head, hint, Some(self.left()))
+    }
+
+    fn fail(&self, status: u16, reason: &str) -> Response {
+        metrics::counter!("ibis_requests_total", "end" => "failed").increment(1);
+        let fields = [("status", status.into()), ("reason", reason.into())];
+        self.log(Stream::Other, &codes::REQUEST_FAILED, &fields);
+        echo_id(Response::status(status), &self.req.head)
+    }
+
+    fn log_attempt(&self, choice: &Choice, reason: &str) {
+        metrics::counter!("ibis_attempts_ended_total").increment(1);
+        self.log(
+            Stream::Other,
+            &codes::ATTEMPT_ENDED,
+            &[
+                ("reason", reason.into()),
+                ("target", choice.record.id.as_str().into()),
+                ("node", choice.node.as_str().into()),
+            ],
+        );
+    }
+
+    fn log(&self, stream: Stream, code: &EventCode, fields: &[(&str, Value)]) {
+        let took = Millis::from(self.req.arrived.elapsed());
+        let mut all: Vec<(&str, Value)> = vec![
+            ("id", self.id.as_str().into()),
+            ("route", self.route.name.as_str().into()),
+            ("config", self.config.version.0.into()),
+            ("ms", took.0.into()),
+            ("left_ms", self.left().0.into()),
+            ("sends", self.sends.get().into()),
+        ];
+        all.extend(fields.iter().cloned());
+        self.node.log.line(self.node.clock.now(), stream, code, &all);
+    }
+}
+
+fn refusal_text(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::Overloaded => "overloaded",
+        RefusalReason::Leaving => "target leaving",
+        RefusalReason::Unreachable => "target unreachable",
+        RefusalReason::Rejected => "rejected by the target",
+    }
+}
+
+fn failure_text(failure: Failure) -> &'static str {
+    match failure {
+        Failure::Broken => "connection to the target broke",
+        Failure::BadAnswer => "bad answer of the target",
+        Failure::Silent => "target silent",
+        Failure::Deadline => "deadline",
+        Failure::LinkLost => "connection between nodes broke",
+    }
+}
+
+impl Node {
+    /// The answer to a request that did not run and will not. `left` is the time that the caller still
+    /// has; the advice is spread so that refused callers do not return together.
+    pub fn not_run(
+        &self,
+        head: &RequestHead,
+        hint: Option<Millis>,
+        left: Option<Millis>,
+    ) -> Response {
+        let told = head.headers.text(headers::DEADLINE_MS).and_then(|t| t.trim().parse().ok());
+        let left = left.or(told.map(Millis)).unwrap_or(Millis(1_000));
+        let most = left.0 as f64 * RETRY_AFTER_SHARE;
+        let wait = hint.unwrap_or(DEFAULT_RETRY_AFTER).0.max(20) as f64;
+        let wait = (wait * (0.75 + 0.75 * self.random())).min(most);
+        let response = Response::status(503)
+            .with(headers::RETRY_AFTER, format!("{:.3}", wait / 1000.0).into_bytes());
+        echo_id(response, head)
+    }
+
+    /// Targets of a service that take requests and whose node can be reached.
+    fn candidates(&self, service: &ServiceName) -> Vec<(Candidate, InstanceRecord)> {
+        let mut found = Vec::new();
+        let ready = |r: &InstanceRecord| r.service == *service && r.state == LifeState::Ready;
+        if let Some(record) = self.target.record().filter(ready)
+            && self.target.is_available()
+        {
+            let candidate = Candidate {
+                node: self.card.node.clone(),
+                near: true,
+                cold: self.target.is_cold(),
+                load: self.target.load(),
+            };
+            found.push((candidate, record));
+        }
+        for (name, peer) in self.peers.map.borrow().iter() {
+            let Some(status) = peer.status.as_ref().filter(|_| peer.is_reachable()) else {
+                continue;
+            };
+            let Some(record) = status.instance.as_ref().filter(|r| ready(r)) else { continue };
+            if status.leaving || !status.available {
+                continue;
+            }
+            let candidate = Candidate {
+                node: name.clone(),
+                near: peer.card.data_centre == self.card.data_centre,
+                cold: status.cold,
+                load: status.load,
+            };
+            found.push((candidate, record.clone()));
+        }
+        found
+    }
+
+    /// Sends a call to the node beside a target; a call to the own target takes no connection.
+    async fn send(&self, to: &NodeId, head: ForwardHead, body: Bytes) -> Outcome {
+        if *to == self.card.node {
+            return self.target.call(head, body).await.0;
+        }
+        let link = self.peers.map.borrow().get(to).and_then(|p| p.link.clone());
+        let Some(link) = link else { return unreachable() };
+        let (outcome, load) = link.call(head, body).await;
+        if let Some(load) = load {
+            if let Some(status) =
+                self.peers.map.borrow_mut().get_mut(to).and_then(|p| p.status.as_mut())
+            {
+                status.load = load;
+            }
+            // The call that has just ended is not part of the reported load.
+            self.picker.borrow_mut().reported_after_end(to);
+        }
+        outcome
+    }
+}
--- /dev/null
+++ b/crates/ibisroute/src/mesh/run.rs
@@ -0,0 +1,200 @@
+//! Start, reload and graceful stop of a node.
+
+use std::cell::Cell;
+use std::path::Path;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use eyre::WrapErr;
+use metrics_exporter_prometheus::Matcher;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use tokio::net::TcpListener;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+
+use super::decision_log::DecisionLog;
+use super::decision_log::Stream;
+use super::frames::NodeCard;
+use super::http_server;
+use super::link;
+use super::listeners::Heartbeats;
+use super::listeners::Metrics;
+use super::listeners::Readiness;
+use super::mesh_settings::MeshSettings;
+use super::node::Node;
+use super::proxy::Proxy;
+use super::socket;
+use crate::events::mesh as codes;
+use crate::platform::client::HttpPlatform;
+use crate::types::Millis;
+
+/// Time from the stop signal in which requests are still served. The platform takes a node out after
+/// two failed readiness checks, one a second.
+const ANNOUNCE: Duration = Duration::from_millis(2_600);
+
+/// Time before the end of the grace period from which new requests are refused.
+const REFUSE_BEFORE: Duration = Duration::from_millis(1_700);
+
+/// Time before the end of the grace period at which the process ends in any case.
+const END_BEFORE: Duration = Duration::from_millis(300);
+
+/// How often a stopping node looks whether it is idle.
+const IDLE_CHECK: Duration = Duration::from_millis(50);
+
+/// How often the settings file is compared; it may change without a signal.
+const SETTINGS_CHECK: Duration = Duration::from_secs(2);
+
+/// Upper bounds of the latency histogram, in seconds; they span the aims of all routes.
+const LATENCY_BOUNDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0];
+
+/// Runs a node until SIGTERM.
+pub fn run(file: &Path, cfg: MeshSettings) -> eyre::Result<()> {
+    actix_rt::System::new().block_on(serve(file.to_path_buf(), cfg))
+}
+
+async fn serve(file: PathBuf, cfg: MeshSettings) -> eyre::Result<()> {
+    let log = DecisionLog::start(cfg.log);
+    let latency = Matcher::Full("ibis_request_seconds".to_string());
+    let recorder = PrometheusBuilder::new()
+        .set_buckets_for_metric(latency, &LATENCY_BOUNDS)
+        .wrap_err("metrics buckets")?
+        .install_recorder()
+        .wrap_err("metrics recorder")?;
+    let store = Rc::new(HttpPlatform::new(cfg.store.clone()));
+    let listen = cfg.listen.clone();
+    let grace = Duration::from_secs_f64(cfg.bounds.grace_s);
+    let node = Node::new(cfg, store, log, rand::random());
+    let open = Rc::new(Cell::new(0));
+    let callers = bind(listen.callers, "callers")?;
+    let targets = bind(listen.targets, "targets")?;
+    let ready = bind(listen.ready, "ready")?;
+    let peers = bind(listen.peers, "peers")?;
+    let metrics = bind(listen.metrics, "metrics")?;
+    let fields = [
+        ("node", node.card.node.as_str().into()),
+        ("service", node.cfg.service.as_str().into()),
+        ("callers", listen.callers.to_string().into()),
+        ("peers", listen.peers.to_string().into()),
+        ("program", env!("CARGO_PKG_VERSION").into()),
+    ];
+    node.log.line(node.clock.now(), Stream::Other, &codes::STARTED, &fields);
+    let proxy = Rc::new(Proxy { node: node.clone() });
+    let beats = Rc::new(Heartbeats { node: node.clone() });
+    let readiness = Rc::new(Readiness { node: node.clone() });
+    let metrics_page = Rc::new(Metrics { recorder, node: node.clone() });
+    actix_rt::spawn(http_server::serve(callers, proxy, open.clone()));
+    actix_rt::spawn(http_server::serve(targets, beats, Rc::default()));
+    actix_rt::spawn(http_server::serve(ready, readiness, Rc::default()));
+    actix_rt::spawn(http_server::serve(metrics, metrics_page, Rc::default()));
+    actix_rt::spawn(accept_peers(peers, node.clone()));
+    actix_rt::spawn(node.clone().follow_store());
+    actix_rt::spawn(node.clone().send_statuses());
+    actix_rt::spawn(node.clone().drive_moves());
+    let queue = node.target.clone();
+    actix_rt::spawn(async move { queue.watch_queue().await });
+    actix_rt::spawn(watch_settings(file, node.clone()));
+    let mut term = signal(SignalKind::terminate()).wrap_err("SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("SIGINT")?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    stop(&node, grace).await;
+    Ok(())
+}
+
+fn bind(address: std::net::SocketAddr, name: &str) -> eyre::Result<TcpListener> {
+    socket::listen(address).wrap_err_with(|| format!("listen.{name}: {address}"))
+}
+
+async fn accept_peers(listener: TcpListener, node: Rc<Node>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // For example without free descriptors; ending connections make room.
+            sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let node = node.clone();
+        actix_rt::spawn(async move {
+            let events = node.clone();
+            let known = |peer: &NodeCard| {
+                node.learn_peer(peer);
+                node.peers.cards()
+            };
+            // The sender's statuses grow rarer with the fleet.
+            let silence = Millis(2 * node.peer_silence().0);
+            // The peer connects again; what was in flight is handled on its side.
+            let _ = link::accept(stream, node.card.clone(), known, events, silence).await;
+        });
+    }
+}
+
+/// Stops gracefully: the target's part at once, callers after they were told through readiness.
+async fn stop(node: &Rc<Node>, grace: Duration) {
+    let began = Instant::now();
+    node.leaving.set(true);
+    node.target.stop();
+    node.status_changed.notify_one();
+    let fields = [("in_flight", node.in_flight.get().into())];
+    node.log.line(node.clock.now(), Stream::Other, &codes::STOPPING, &fields);
+    let announced = began + ANNOUNCE.min(grace / 2);
+    let refuse = began + grace.saturating_sub(REFUSE_BEFORE);
+    let end = began + grace.saturating_sub(END_BEFORE);
+    sleep_until(announced).await;
+    while Instant::now() < end {
+        if Instant::now() >= refuse {
+            node.refusing.set(true);
+        }
+        if node.in_flight.get() == 0 && node.target.calls() == 0 {
+            break;
+        }
+        sleep(IDLE_CHECK).await;
+    }
+    // Last answers may still be on their way out of this process.
+    sleep(IDLE_CHECK).await;
+    let fields =
+        [("cut_requests", node.in_flight.get().into()), ("cut_calls", node.target.calls().into())];
+    node.log.line(node.clock.now(), Stream::Other, &codes::STOPPED, &fields);
+    node.log.stop();
+}
+
+/// Reads the settings again after SIGHUP and when the file changes. Wrong settings are refused whole.
+/// Addresses and names cannot change without a restart; the platform restarts the node for them.
+async fn watch_settings(file: PathBuf, node: Rc<Node>) {
+    let Ok(mut hup) = signal(SignalKind::hangup()) else { return };
+    let mut seen = modified(&file);
+    loop {
+        let signalled = tokio::select! {
+            received = hup.recv() => received.is_some(),
+            () = sleep(SETTINGS_CHECK) => false,
+        };
+        let now = modified(&file);
+        if now == seen && !signalled {
+            continue;
+        }
+        seen = now;
+        match MeshSettings::load(&file) {
+            Ok(cfg) => {
+                let fields = [
+                    ("signal", signalled.into()),
+                    ("restart_needed", (cfg.listen != node.cfg.listen).into()),
+                ];
+                node.reload(cfg);
+                node.log.line(node.clock.now(), Stream::Other, &codes::RELOADED, &fields);
+            }
+            Err(e) => {
+                let fields = [("error", e.to_string().into())];
+                node.log.line(node.clock.now(), Stream::Other, &codes::RELOAD_REFUSED, &fields);
+            }
+        }
+    }
+}
+
+fn modified(file: &Path) -> Option<SystemTime> {
+    std::fs::metadata(file).and_then(|m| m.modified()).ok()
+}
--- /dev/null
+++ b/crates/ibisroute/src/mesh/slot_queue.rs
@@ -0,0 +1,286 @@
+//! Admission at the node beside a target: who starts, who waits and who is refused.
+//!
+//! The node is the only sender to its target, so it knows how many requests run. Requests wait here
+//! and not at the target, because a hand-back from here is proof that nothing ran.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::types::Millis;
+
+/// Settings of the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct QueueSettings {
+    /// Service time that is assumed before the first answer.
+    pub first_service: Millis,
+    /// Weight of a new observation in the average service time.
+    pub estimate_weight: f64,
+    /// Multiple of the average service time that a request must have left when it starts. Service
+    /// times scatter; with the bare average half of the requests would miss their deadline.
+    pub start_margin: f64,
+    /// Multiple of the average service time that a request must have left before its aim to count as
+    /// in time.
+    pub aim_margin: f64,
+    /// Every n-th start goes to the least urgent class that waits, so that no class starves.
+    pub fair_turn: u32,
+    /// Share of its remaining time that a request without hope for its aim may wait.
+    pub late_wait_share: f64,
+}
+
+impl Default for QueueSettings {
+    fn default() -> Self {
+        Self {
+            first_service: Millis(100),
+            estimate_weight: 0.1,
+            start_margin: 1.3,
+            aim_margin: 1.2,
+            fair_turn: 5,
+            late_wait_share: 0.3,
+        }
+    }
+}
+
+/// A request that asks for a slot.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ticket {
+    /// Identity, unique on the node.
+    pub id: u64,
+    /// Route; service times are kept for each.
+    pub route: SmolStr,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// An answer after this point is of less use.
+    pub aim: Millis,
+    /// An answer after this point is of no use.
+    pub deadline: Millis,
+}
+
+/// Why a request did not get a slot. It did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display, Serialize, Deserialize)]
+pub enum RefusalReason {
+    /// The wait would leave too little time.
+    #[display("overloaded")]
+    Overloaded,
+    /// The target leaves, has gone or is another run.
+    #[display("leaving")]
+    Leaving,
+    /// The target could not be reached.
+    #[display("unreachable")]
+    Unreachable,
+    /// The target rejected the request and says so.
+    #[display("rejected")]
+    Rejected,
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send the request to the target.
+    Start(u64),
+    /// Hand the request back; it may come again after the time.
+    Refuse(u64, RefusalReason, Millis),
+}
+
+/// What the node tells others of its queue.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at a time.
+    pub slots: u32,
+    /// Average time that a request holds a slot, in milliseconds.
+    pub service_ms: f32,
+    /// Share of recent requests that the target failed or rejected, 0.0 to 1.0.
+    pub failing: f32,
+}
+
+/// The queue of one target.
+#[derive(Debug)]
+pub struct SlotQueue {
+    cfg: QueueSettings,
+    slots: u32,
+    leaving: bool,
+    running: HashMap<u64, SmolStr>,
+    waiting: Vec<Ticket>,
+    estimates: BTreeMap<SmolStr, f64>,
+    average_ms: f64,
+    starts: u32,
+}
+
+impl SlotQueue {
+    /// An empty queue.
+    pub fn new(cfg: QueueSettings, slots: u32) -> Self {
+        Self {
+            cfg,
+            slots,
+            leaving: false,
+            running: HashMap::new(),
+            waiting: Vec::new(),
+            estimates: BTreeMap::new(),
+            average_ms: cfg.first_service.0 as f64,
+            starts: 0,
+        }
+    }
+
+    /// Counts for other nodes; the failing share is the caller's to fill in.
+    pub fn load(&self) -> Load {
+        Load {
+            running: self.running.len() as u32,
+            waiting: self.waiting.len() as u32,
+            slots: self.slots,
+            service_ms: self.average_ms as f32,
+            failing: 0.0,
+        }
+    }
+
+    /// Average time that a request holds a slot.
+    pub fn service_ms(&self, route: &str) -> f64 {
+        self.estimates.get(route).copied().unwrap_or(self.average_ms)
+    }
+
+    /// Offers a request.
+    pub fn offer(&mut self, now: Millis, ticket: Ticket) -> Vec<Action> {
+        if self.leaving {
+            return vec![Action::Refuse(ticket.id, RefusalReason::Leaving, Millis(0))];
+        }
+        let wait = self.wait_ms(now, &ticket);
+        let service = self.service_ms(&ticket.route);
+        let left = ticket.deadline.since(now).0 as f64;
+        let to_aim = ticket.aim.since(now).0 as f64;
+        let in_time = wait + service * self.cfg.aim_margin <= to_aim;
+        let hopeless = wait + service * self.cfg.start_margin > left && wait > 0.0;
+        let too_late = !in_time && wait > left * self.cfg.late_wait_share;
+        if left <= 0.0 || hopeless || too_late {
+            let back = Millis(wait.max(service) as u64);
+            return vec![Action::Refuse(ticket.id, RefusalReason::Overloaded, back)];
+        }
+        self.waiting.push(ticket);
+        self.fill(now)
+    }
+
+    /// A request has ended. The time is absent when it tells nothing of the target's speed.
+    pub fn finish(&mut self, now: Millis, id: u64, took: Option<Millis>) -> Vec<Action> {
+        let Some(route) = self.running.remove(&id) else { return Vec::new() };
+        if let Some(took) = took {
+            let took = (took.0 as f64).max(1.0);
+            let weight = self.cfg.estimate_weight;
+            let estimate = self.estimates.entry(route).or_insert(took);
+            *estimate += (took - *estimate) * weight;
+            self.average_ms += (took - self.average_ms) * weight;
+        }
+        self.fill(now)
+    }
+
+    /// The sender of a waiting request has gone.
+    pub fn cancel(&mut self, id: u64) {
+        self.waiting.retain(|t| t.id != id);
+    }
+
+    /// The target leaves: what waits is handed back, what runs ends.
+    pub fn leave(&mut self) -> Vec<Action> {
+        self.leaving = true;
+        self.waiting
+            .drain(..)
+            .map(|t| Action::Refuse(t.id, RefusalReason::Leaving, Millis(0)))
+            .collect()
+    }
+
+    /// Hands back everything that waits, because the target does not answer.
+    pub fn give_back(&mut self) -> Vec<Action> {
+        self.waiting
+            .drain(..)
+            .map(|t| Action::Refuse(t.id, RefusalReason::Unreachable, Millis(0)))
+            .collect()
+    }
+
+    /// The target announced its slots, or a new run began.
+    pub fn reset(&mut self, now: Millis, slots: u32) -> Vec<Action> {
+        self.slots = slots.max(1);
+        self.leaving = false;
+        self.fill(now)
+    }
+
+    /// Whether the target leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Requests that run.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Starts what may start and refuses what can no longer be served; call it again at
+    /// [`SlotQueue::next_check`].
+    pub fn fill(&mut self, now: Millis) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.retain(|ticket| {
+            let keep = now <= self.latest_start(ticket) || self.running.is_empty();
+            if !keep {
+                let back = Millis(self.average_ms as u64);
+                actions.push(Action::Refuse(ticket.id, RefusalReason::Overloaded, back));
+            }
+            keep
+        });
+        self.waiting = waiting;
+        while self.running.len() < self.slots as usize {
+            let Some(i) = self.next(now) else { break };
+            let ticket = self.waiting.swap_remove(i);
+            self.starts = self.starts.wrapping_add(1);
+            self.running.insert(ticket.id, ticket.route);
+            actions.push(Action::Start(ticket.id));
+        }
+        actions
+    }
+
+    /// The point at which the next waiting request has to be refused.
+    pub fn next_check(&self) -> Option<Millis> {
+        self.waiting.iter().map(|t| Millis(self.latest_start(t).0 + 1)).min()
+    }
+
+    fn latest_start(&self, ticket: &Ticket) -> Millis {
+        let service = self.service_ms(&ticket.route) * self.cfg.start_margin;
+        Millis(ticket.deadline.0.saturating_sub(service as u64))
+    }
+
+    /// Index of the ticket to start next: those that can still meet their aim first, by priority and
+    /// then by aim; every n-th start goes to the least urgent class.
+    fn next(&self, now: Millis) -> Option<usize> {
+        let fair = self.cfg.fair_turn > 0 && self.starts % self.cfg.fair_turn == 0;
+        let rank = |t: &Ticket| {
+            let priority = i16::from(t.priority) * if fair { -1 } else { 1 };
+            (self.is_late(now, t), priority, t.aim)
+        };
+        (0..self.waiting.len()).min_by_key(|i| rank(&self.waiting[*i]))
+    }
+
+    fn is_late(&self, now: Millis, ticket: &Ticket) -> bool {
+        let service = self.service_ms(&ticket.route) * self.cfg.aim_margin;
+        now.0 as f64 + service > ticket.aim.0 as f64
+    }
+
+    /// Expected wait of a new request behind those that would start before it.
+    fn wait_ms(&self, now: Millis, ticket: &Ticket) -> f64 {
+        if self.running.len() < self.slots as usize && self.waiting.is_empty() {
+            return 0.0;
+        }
+        let late = self.is_late(now, ticket);
+        let key = (late, ticket.priority, ticket.aim);
+        let ahead: f64 = self
+            .waiting
+            .iter()
+            .filter(|t| (self.is_late(now, t), t.priority, t.aim) <= key)
+            .map(|t| self.service_ms(&t.route))
+            .sum();
+        // Running requests free a slot every `average / slots` on average.
+        (ahead + self.average_ms) / f64::from(self.slots.max(1))
+    }
+}
--- a/crates/ibisroute/src/platform/client.rs
+++ b/crates/ibisroute/src/platform/client.rs
@@ -26,6 +26,7 @@
 use super::model::Stored;
 use super::model::Transaction;
 use super::platform_settings::PlatformSettings;
+use super::rows::StoreCall;
 use crate::events;
 use crate::events::platform::UNEXPECTED_ANSWER;
 
@@ -125,6 +126,26 @@
     }
 }
 
+impl HttpPlatform {
+    /// Makes a call in the dialect of the users' store; returns the status and the whole body.
+    pub(super) async fn exchange_rows(
+        &self,
+        call: StoreCall,
+    ) -> Result<(u16, Bytes), PlatformError> {
+        let (kind, method) = match call.method {
+            "GET" => (Kind::Read, Method::GET),
+            _ => (Kind::Write, Method::POST),
+        };
+        let mut req = self.request(method, &call.target);
+        if !call.body.is_empty() {
+            req = req.insert_header(("Content-Type", "application/json"));
+        }
+        let max = self.inner.cfg.max_rows_bytes;
+        let answer = self.call(kind, req, call.body.into(), max).await?;
+        Ok((answer.status.as_u16(), answer.body))
+    }
+}
+
 fn count_failure(kind: Kind, error: &PlatformError) {
     let reason = match error {
         PlatformError::Refused(_) => "refused",
--- /dev/null
+++ b/crates/ibisroute/src/platform/heartbeat.rs
@@ -0,0 +1,122 @@
+//! Heartbeats of targets in the form of the users' platform.
+
+use serde::Deserialize;
+use smol_str::SmolStr;
+
+use crate::mesh::registry::Heartbeat;
+use crate::mesh::registry::LifeState;
+use crate::types::InstanceId;
+use crate::types::Millis;
+use crate::types::ParseError;
+use crate::types::UnixMillis;
+
+/// Longest start-up slowness that is believed, in seconds. Longer values come from other writers.
+const MAX_COLD_S: f64 = 600.0;
+
+/// Body of `PUT /-/instances/ID`.
+#[derive(Clone, Debug, Deserialize)]
+pub struct HeartbeatWire {
+    /// Where the target serves HTTP.
+    address: SmolStr,
+    info: InfoWire,
+    status: StatusWire,
+    /// Start of the run in Unix milliseconds. Runs may share an id, so this tells them apart.
+    #[serde(default)]
+    born: u64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct InfoWire {
+    service: SmolStr,
+    /// Version of the target's software, not of a record.
+    version: SmolStr,
+    /// Data centre.
+    zone: SmolStr,
+    /// Requests that the target runs at a time.
+    slots: u32,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct StatusWire {
+    state: StateWire,
+    /// Rises with each heartbeat of one run.
+    sequence: u64,
+    /// Seconds for which the target stays slow after its start.
+    cold_remaining_s: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum StateWire {
+    Ready,
+    Draining,
+}
+
+/// Why a heartbeat names no target.
+#[derive(Clone, Debug, PartialEq, derive_more::Display, derive_more::Error)]
+pub enum HeartbeatError {
+    /// The bytes are not a heartbeat.
+    #[display("not a heartbeat: {_0}")]
+    Malformed(#[error(not(source))] String),
+    /// A name or an address is not valid.
+    #[display("{_0}")]
+    Name(#[error(not(source))] ParseError),
+    /// A number is outside its range.
+    #[display("{_0} is out of range")]
+    Range(#[error(not(source))] &'static str),
+}
+
+impl TryFrom<HeartbeatWire> for Heartbeat {
+    type Error = HeartbeatError;
+
+    fn try_from(wire: HeartbeatWire) -> Result<Self, HeartbeatError> {
+        let name = HeartbeatError::Name;
+        let cold_s = wire.status.cold_remaining_s;
+        if wire.info.slots == 0 {
+            return Err(HeartbeatError::Range("slots"));
+        }
+        if !(0.0..=MAX_COLD_S).contains(&cold_s) {
+            return Err(HeartbeatError::Range("cold_remaining_s"));
+        }
+        Ok(Self {
+            address: wire
+                .address
+                .parse()
+                .map_err(|_| HeartbeatError::Malformed(format!("address {:?}", wire.address)))?,
+            service: wire.info.service.try_into().map_err(name)?,
+            version: wire.info.version.try_into().map_err(name)?,
+            data_centre: wire.info.zone.try_into().map_err(name)?,
+            slots: wire.info.slots,
+            state: match wire.status.state {
+                StateWire::Ready => LifeState::Ready,
+                StateWire::Draining => LifeState::Draining,
+            },
+            born: UnixMillis(wire.born),
+            sequence: wire.status.sequence,
+            cold: Millis((cold_s * 1000.0) as u64),
+        })
+    }
+}
+
+/// Decodes the body of a heartbeat.
+pub fn decode(body: &[u8]) -> Result<Heartbeat, HeartbeatError> {
+    let wire: HeartbeatWire =
+        serde_json::from_slice(body).map_err(|e| HeartbeatError::Malformed(e.to_string()))?;
+    wire.try_into()
+}
+
+/// Start of the run that leaves, from the body of `DELETE /-/instances/ID`; zero when it is absent.
+pub fn decode_leave(body: &[u8]) -> UnixMillis {
+    #[derive(Deserialize)]
+    struct LeaveWire {
+        #[serde(default)]
+        born: u64,
+    }
+    let wire = serde_json::from_slice::<LeaveWire>(body);
+    UnixMillis(wire.map(|w| w.born).unwrap_or_default())
+}
+
+/// The target's id in a path under [`super::headers::INSTANCES_PATH`].
+pub fn instance_of_path(path: &str) -> Option<InstanceId> {
+    path.strip_prefix(super::headers::INSTANCES_PATH)?.parse().ok()
+}
--- a/crates/ibisroute/src/platform/mod.rs
+++ b/crates/ibisroute/src/platform/mod.rs
@@ -1,8 +1,13 @@
-//! Client of the platform's table service and object store.
+//! Adapters of platforms: the table service and object store of the project's own protocol, and the names,
+//! formats and calls of the users' platform ([`headers`], [`heartbeat`], [`operator`], [`rows`]).
 
 pub mod client;
+pub mod headers;
+pub mod heartbeat;
 pub mod model;
+pub mod operator;
 pub mod platform_settings;
+pub mod rows;
 
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
--- /dev/null
+++ b/crates/ibisroute/src/platform/rows.rs
@@ -0,0 +1,205 @@
+//! Calls of the users' metadata store: rows in tables, written under conditions and watched.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use futures_util::FutureExt;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use super::client::HttpPlatform;
+use super::model::PlatformError;
+use crate::mesh::facts::RowChange;
+use crate::mesh::facts::RowVersion;
+use crate::mesh::store::Change;
+use crate::mesh::store::ReadPage;
+use crate::mesh::store::RowStore;
+use crate::mesh::store::StoreFuture;
+use crate::mesh::store::Watched;
+use crate::mesh::store::Written;
+use crate::types::Millis;
+
+/// Method and path of a call to the store, with its body.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreCall {
+    /// HTTP method.
+    pub method: &'static str,
+    /// Path and query.
+    pub target: String,
+    /// JSON body; empty for reads.
+    pub body: Vec<u8>,
+}
+
+#[derive(Serialize)]
+struct TxWire<'a> {
+    expect: Vec<ExpectWire<'a>>,
+    puts: Vec<PutWire<'a>>,
+    remove: Vec<KeyWire<'a>>,
+}
+
+#[derive(Serialize)]
+struct KeyWire<'a> {
+    table: &'a str,
+    part: &'a str,
+    key: &'a str,
+}
+
+#[derive(Serialize)]
+struct ExpectWire<'a> {
+    #[serde(flatten)]
+    row: KeyWire<'a>,
+    /// Version of the row; 0 requires that it is absent.
+    resource_version: u64,
+}
+
+#[derive(Serialize)]
+struct PutWire<'a> {
+    #[serde(flatten)]
+    row: KeyWire<'a>,
+    value: String,
+}
+
+#[derive(Deserialize)]
+struct RowWire {
+    key: SmolStr,
+    #[serde(default)]
+    value: String,
+    #[serde(default)]
+    resource_version: u64,
+    /// Set when the row was removed.
+    #[serde(default)]
+    tombstone: bool,
+}
+
+#[derive(Deserialize)]
+struct PageWire {
+    #[serde(default)]
+    rows: Vec<RowWire>,
+    #[serde(default)]
+    has_more: bool,
+    /// Newest version of the whole store, not of a row.
+    #[serde(default)]
+    resource_version: u64,
+}
+
+impl TryFrom<RowWire> for RowChange {
+    type Error = String;
+
+    fn try_from(wire: RowWire) -> Result<Self, String> {
+        let value = STANDARD.decode(&wire.value).map_err(|e| format!("row {}: {e}", wire.key))?;
+        Ok(Self {
+            key: wire.key,
+            version: RowVersion(wire.resource_version),
+            value: (!wire.tombstone).then(|| value.into()),
+        })
+    }
+}
+
+impl TryFrom<PageWire> for ReadPage {
+    type Error = String;
+
+    fn try_from(wire: PageWire) -> Result<Self, String> {
+        let rows: Result<Vec<RowChange>, String> =
+            wire.rows.into_iter().map(RowChange::try_from).collect();
+        Ok(Self { rows: rows?, more: wire.has_more, version: RowVersion(wire.resource_version) })
+    }
+}
+
+/// The call that commits one change.
+pub fn write(change: &Change) -> StoreCall {
+    let key = || KeyWire { table: change.table, part: "", key: &change.key };
+    let expect = change.expect.map(|v| ExpectWire { row: key(), resource_version: v.0 });
+    let wire = TxWire {
+        expect: expect.into_iter().collect(),
+        puts: change
+            .value
+            .iter()
+            .map(|value| PutWire { row: key(), value: STANDARD.encode(value) })
+            .collect(),
+        remove: if change.value.is_none() { vec![key()] } else { Vec::new() },
+    };
+    let body = serde_json::to_vec(&wire).unwrap_or_default();
+    StoreCall { method: "POST", target: "/-/rows-tx".to_string(), body }
+}
+
+/// The call that reads a table from the key `from`.
+pub fn read(table: &str, from: &str) -> StoreCall {
+    let target = format!("/-/rows-get?table={table}&part=&from={}&limit=500", escape(from));
+    StoreCall { method: "GET", target, body: Vec::new() }
+}
+
+/// The call that waits for changes of a table after a version.
+pub fn watch(table: &str, after: RowVersion, wait: Millis) -> StoreCall {
+    let target = format!("/-/rows-feed?table={table}&after={}&wait_ms={}", after.0, wait.0);
+    StoreCall { method: "GET", target, body: Vec::new() }
+}
+
+/// Decodes the answer of a read or a watch.
+pub fn decode_page(body: &[u8]) -> Result<ReadPage, String> {
+    serde_json::from_slice::<PageWire>(body).map_err(|e| e.to_string())?.try_into()
+}
+
+/// Decodes the answer of a write by its status: 200 or 412.
+pub fn decode_written(status: u16, body: &[u8]) -> Result<Written, String> {
+    let page = decode_page(body)?;
+    match status {
+        200 => Ok(Written::Committed(page.version)),
+        412 => Ok(Written::Conflict(page.rows)),
+        status => Err(format!("status {status}")),
+    }
+}
+
+fn escape(key: &str) -> String {
+    key.bytes().fold(String::new(), |mut out, b| {
+        if b.is_ascii_alphanumeric() || b"-._~/".contains(&b) {
+            out.push(char::from(b));
+        } else {
+            out.push_str(&format!("%{b:02X}"));
+        }
+        out
+    })
+}
+
+impl RowStore for HttpPlatform {
+    fn read(&self, table: &'static str, from: &str) -> StoreFuture<ReadPage> {
+        let this = self.clone();
+        let call = read(table, from);
+        async move {
+            let (status, body) = this.exchange_rows(call).await?;
+            match status {
+                200 => decode_page(&body).map_err(unreadable),
+                _ => Err(PlatformError::Protocol(format!("reading {table}: status {status}"))),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn watch(&self, table: &'static str, after: RowVersion, wait: Millis) -> StoreFuture<Watched> {
+        let this = self.clone();
+        let call = watch(table, after, wait);
+        async move {
+            let (status, body) = this.exchange_rows(call).await?;
+            match status {
+                200 => decode_page(&body).map(Watched::Changes).map_err(unreadable),
+                410 => Ok(Watched::HistoryLost),
+                _ => Err(PlatformError::Protocol(format!("watching {table}: status {status}"))),
+            }
+        }
+        .boxed_local()
+    }
+
+    fn write(&self, change: Change) -> StoreFuture<Written> {
+        let this = self.clone();
+        let call = write(&change);
+        async move {
+            let (status, body) = this.exchange_rows(call).await?;
+            decode_written(status, &body).map_err(unreadable)
+        }
+        .boxed_local()
+    }
+}
+
+/// An answer that cannot be read counts as none: a write may have taken effect.
+fn unreadable(error: String) -> PlatformError {
+    PlatformError::NoAnswer(format!("an answer that cannot be read: {error}"))
+}
--- a/crates/ibisroute/src/settings/mod.rs
+++ b/crates/ibisroute/src/settings/mod.rs
@@ -210,7 +210,7 @@
     require(n >= 1, path, "must be at least 1")
 }
 
-fn require(holds: bool, path: &str, problem: &str) -> Result<(), SettingsError> {
+pub(crate) fn require(holds: bool, path: &str, problem: &str) -> Result<(), SettingsError> {
     if holds {
         return Ok(());
     }
