Try a second target without breaking off the first; divide the retry budget by cause

The node now keeps the first attempt and sends a second one when budget and time allow. Repeats after a failure that a target reported now take a tenth of the allowance. Ruled out: client retries (they are new requests) and hand-backs (never sent).

--- a/crates/ibisroute/src/mesh/frames.rs
+++ b/crates/ibisroute/src/mesh/frames.rs
@@ -106,9 +106,6 @@
     /// The answer was not one to this request, or not whole.
     #[display("bad answer of the target")]
     BadAnswer,
-    /// The target gave no answer for many times its usual time.
-    #[display("target silent")]
-    Silent,
     /// No answer before the deadline.
     #[display("deadline")]
     Deadline,
--- a/crates/ibisroute/src/mesh/local_target.rs
+++ b/crates/ibisroute/src/mesh/local_target.rs
@@ -12,7 +12,7 @@
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
-use tokio::time::sleep_until;
+use tokio::time::timeout;
 
 use super::facts::RowVersion;
 use super::frames::Failure;
@@ -79,11 +79,15 @@
     id: u64,
     started: Option<Instant>,
     timed: Cell<bool>,
+    ended: Cell<bool>,
 }
 
 impl Drop for Place<'_> {
     fn drop(&mut self) {
         let now = self.target.clock.now();
+        if let Some(started) = self.started.filter(|_| !self.ended.get()) {
+            self.target.count_if_lost(started.elapsed().into());
+        }
         let took = self.started.filter(|_| self.timed.get()).map(|s| s.elapsed().into());
         let actions = {
             let mut inner = self.target.inner.borrow_mut();
@@ -286,16 +290,11 @@
         let request = request_bytes(head, left, body.len());
         let written = Cell::new(false);
         let exchange = {
-            let silent = self.silence_limit(head, left);
-            let method = &head.method;
-            let exchange = conn.exchange(method, &head.request_id, &request, &body, &written);
+            let exchange = conn.exchange(&head.method, &head.request_id, &request, &body, &written);
             let exchange = std::pin::pin!(exchange);
-            tokio::select! {
-                biased;
-                result = exchange => Ok(result),
-                () = sleep_until((Instant::now() + silent.0).into()) => Err(silent.1),
-            }
+            timeout(left.to_duration(), exchange).await
         };
+        place.ended.set(true);
         let took = place.started.map_or(Millis(0), |s| s.elapsed().into());
         match exchange {
             Ok(Ok((answer, reusable))) => {
@@ -320,28 +319,16 @@
                 self.record_evidence(head, false, took);
                 Outcome::Failed(Failure::BadAnswer)
             }
-            Err(failure) => {
+            Err(_) => {
                 // Other connections that went silent with this one would lose the next calls.
                 self.inner.borrow_mut().idle.clear();
                 self.count(Ended::Lost);
                 self.record_evidence(head, false, took);
-                Outcome::Failed(failure)
+                Outcome::Failed(Failure::Deadline)
             }
         }
     }
 
-    /// How long to wait for the answer, and what a wait beyond it means. A repeatable call is given
-    /// up early when the rest of its time still serves another target.
-    fn silence_limit(&self, head: &ForwardHead, left: Millis) -> (Duration, Failure) {
-        let service = self.inner.borrow().queue.service_ms(&head.route);
-        let lost = (service * self.health.lost_factor).max(self.health.lost_least.0 as f64);
-        let enough = lost + service * 1.5 < left.0 as f64;
-        if head.repeatable && enough {
-            return (Millis(lost as u64).to_duration(), Failure::Silent);
-        }
-        (left.to_duration(), Failure::Deadline)
-    }
-
     async fn admit(&self, head: &ForwardHead) -> Result<Place<'_>, (RefusalReason, Millis)> {
         let now = self.clock.now();
         let (tx, rx) = oneshot::channel();
@@ -367,7 +354,13 @@
             (id, inner.queue.offer(now, ticket))
         };
         self.calls.set(self.calls.get() + 1);
-        let place = Place { target: self, id, started: None, timed: Cell::new(false) };
+        let place = Place {
+            target: self,
+            id,
+            started: None,
+            timed: Cell::new(false),
+            ended: Cell::new(false),
+        };
         self.perform(actions);
         self.queue_changed.notify_one();
         match rx.await {
@@ -419,6 +412,17 @@
         Outcome::Answer { status, headers, body, body_bytes }
     }
 
+    /// Counts a request that was given up without an answer as lost if it took very long.
+    fn count_if_lost(&self, took: Millis) {
+        let usual = self.inner.borrow().queue.load().service_ms;
+        let lost =
+            (f64::from(usual) * self.health.lost_factor).max(self.health.lost_least.0 as f64);
+        if took.0 as f64 > lost {
+            self.inner.borrow_mut().idle.clear();
+            self.count(Ended::Lost);
+        }
+    }
+
     fn count(&self, ended: Ended) {
         let now = self.clock.now();
         self.inner.borrow_mut().health.count(now, ended, &self.health);
--- a/crates/ibisroute/src/mesh/node.rs
+++ b/crates/ibisroute/src/mesh/node.rs
@@ -38,6 +38,7 @@
 use super::peers::Peers;
 use super::picker::Picker;
 use super::retry_budget::BudgetSettings;
+use super::retry_budget::Cause;
 use super::retry_budget::RetryBudget;
 use super::rollout::Progress;
 use super::rollout::Rollout;
@@ -53,6 +54,9 @@
 use crate::types::Millis;
 use crate::types::ServiceName;
 
+/// Weight of a new observation in the usual time to an answer.
+const ANSWER_WEIGHT: f64 = 0.1;
+
 /// Shortest time between two requests for newer rows to peers.
 const ASK_INTERVAL: Millis = Millis(250);
 
@@ -124,6 +128,7 @@
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     budget: Cell<BudgetSettings>,
     patience: RefCell<HashMap<SmolStr, f64>>,
+    answers: RefCell<HashMap<SmolStr, f64>>,
     rng: RefCell<SmallRng>,
     asked: Cell<Option<Millis>>,
 }
@@ -170,6 +175,7 @@
             budgets: RefCell::default(),
             budget: Cell::new(cfg.bounds.budget()),
             patience: RefCell::default(),
+            answers: RefCell::default(),
             rng: RefCell::new(rng),
             asked: Cell::new(None),
             cfg,
@@ -224,11 +230,11 @@
     }
 
     /// Takes a repeat from the budget of a service.
-    pub fn take_repeat(&self, service: &ServiceName) -> bool {
+    pub fn take_repeat(&self, service: &ServiceName, cause: Cause) -> bool {
         let nodes = self.peers.live();
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_default();
-        let taken = budget.take(self.clock.now(), nodes, &self.budget.get());
+        let taken = budget.take(self.clock.now(), cause, nodes, &self.budget.get());
         if !taken {
             metrics::counter!("ibis_repeats_denied_total").increment(1);
         }
@@ -245,6 +251,18 @@
         Millis((*longest - ms) as u64)
     }
 
+    /// Counts the time that an attempt took to its answer.
+    pub fn count_answer(&self, route: &SmolStr, took: Millis) {
+        let mut answers = self.answers.borrow_mut();
+        let usual = answers.entry(route.clone()).or_insert(took.0 as f64);
+        *usual += (took.0 as f64 - *usual) * ANSWER_WEIGHT;
+    }
+
+    /// Usual time of an attempt on a route, in milliseconds.
+    pub fn usual_answer(&self, route: &SmolStr) -> Option<f64> {
+        self.answers.borrow().get(route).copied()
+    }
+
     /// Logs a request that was not taken up.
     pub fn log_request(&self, code: &EventCode, head: &RequestHead, fields: &[(&str, Value)]) {
         let id = head.headers.text(headers::REQUEST_ID).unwrap_or_default();
--- a/crates/ibisroute/src/mesh/proxy.rs
+++ b/crates/ibisroute/src/mesh/proxy.rs
@@ -6,9 +6,11 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use serde_json::Value;
 use smol_str::SmolStr;
-use tokio::time::timeout_at;
+use tokio::time::sleep_until;
 
 use super::decision_log::Stream;
 use super::frames::Failure;
@@ -24,6 +26,7 @@
 use super::picker::Candidate;
 use super::registry::InstanceRecord;
 use super::registry::LifeState;
+use super::retry_budget::Cause;
 use super::rollout::Gate;
 use super::routes::ClientLimits;
 use super::routes::Route;
@@ -44,6 +47,13 @@
 /// arrives before this node gives up.
 const HOP_MARGIN: Millis = Millis(3);
 
+/// Multiple of a route's usual time to an answer after which a repeatable request goes to a second
+/// target as well. One request in a hundred takes up to five times the usual work.
+const SECOND_FACTOR: f64 = 5.0;
+
+/// Shortest time after which a request goes to a second target.
+const SECOND_LEAST: Millis = Millis(150);
+
 /// Advice to a refused caller when no queue told how long its wait would be.
 const DEFAULT_RETRY_AFTER: Millis = Millis(150);
 
@@ -188,6 +198,37 @@
     record: InstanceRecord,
 }
 
+/// An answer of a target.
+struct TargetAnswer {
+    choice: Choice,
+    status: u16,
+    headers: Vec<(SmolStr, Bytes)>,
+    body: Bytes,
+}
+
+/// What the attempts of a request have brought so far.
+#[derive(Default)]
+struct Tries {
+    tried: Vec<NodeId>,
+    hand_backs: u32,
+    /// Shortest wait that a queue told.
+    hint: Option<Millis>,
+    /// Whether an attempt may have run.
+    ran: bool,
+    /// A failure that a target answered; returned when nothing better comes.
+    failure: Option<TargetAnswer>,
+    /// Random draw that decides on the version during a move.
+    draw: f64,
+}
+
+/// What follows an attempt without a final answer.
+enum Step {
+    /// Nothing reached the target; another one may take it freely.
+    HandBack(&'static str),
+    /// Another send costs budget.
+    Repeat(Cause, &'static str),
+}
+
 /// One request of a caller.
 struct Call<'a> {
     node: &'a Rc<Node>,
@@ -250,78 +291,114 @@
             return self.refuse("no service", None);
         };
         self.node.count_request(&service, now);
-        let mut tried: Vec<NodeId> = Vec::new();
-        let mut hand_backs = 0;
-        let mut hint: Option<Millis> = None;
-        let draw = self.node.random();
+        let mut tries = Tries { draw: self.node.random(), ..Tries::default() };
+        let mut out = FuturesUnordered::new();
+        let mut second_at = None;
         loop {
-            if self.left() <= HOP_MARGIN {
-                return match self.sends.get() {
-                    0 => self.refuse("deadline", hint),
-                    _ => self.fail(504, "deadline"),
+            if out.is_empty() {
+                if self.left() <= HOP_MARGIN {
+                    return self.give_up(tries, 504, "deadline");
+                }
+                let Some(choice) = self.choose(&service, &tries) else {
+                    let none = if tries.tried.is_empty() { "no target" } else { "no other target" };
+                    return self.give_up(tries, 502, none);
                 };
+                tries.tried.push(choice.node.clone());
+                out.push(self.attempt(choice));
+                second_at = self.second_at();
             }
-            let Some(choice) = self.choose(&service, &tried, draw) else {
-                let reason = if tried.is_empty() { "no target" } else { "no other target" };
-                return self.refuse(reason, hint);
+            let ended = tokio::select! {
+                biased;
+                Some(ended) = out.next() => ended,
+                () = sleep_until(second_at.unwrap_or(self.deadline).into()), if second_at.is_some() => {
+                    second_at = None;
+                    if let Some(choice) = self.second_choice(&service, &tries) {
+                        tries.tried.push(choice.node.clone());
+                        out.push(self.attempt(choice));
+                    }
+                    continue;
+                }
+                () = sleep_until(self.deadline.into()) => {
+                    tries.ran = true;
+                    return self.give_up(tries, 504, "deadline");
+                }
             };
-            tried.push(choice.node.clone());
-            let (outcome, late) = self.attempt(&choice).await;
-            match outcome {
+            let (choice, outcome, began) = ended;
+            let step = match outcome {
                 Outcome::Answer { status, headers, body, .. } => {
-                    let again = status >= 500
-                        && self.route.kind.is_repeatable()
-                        && self.count_send()
-                        && self.may_repeat(&service);
-                    if !again {
-                        return self.answer(&choice, status, headers, body);
+                    self.node.count_answer(&self.route.name, began.elapsed().into());
+                    tries.ran = true;
+                    let answer = TargetAnswer { choice, status, headers, body };
+                    if status < 500 || !self.route.kind.is_repeatable() {
+                        return self.answer(answer);
                     }
-                    self.log_attempt(&choice, "failure of the target");
+                    self.log_attempt(&answer.choice, "failure of the target");
+                    tries.failure = Some(answer);
+                    Step::Repeat(Cause::TargetFailure, "failure of the target")
                 }
                 Outcome::Refused { reason: RefusalReason::Rejected, .. } => {
                     self.log_attempt(&choice, "rejected by the target");
                     self.avoid(&choice);
-                    if !(self.count_send() && self.may_repeat(&service)) {
-                        return self.refuse("rejected by the target", hint);
-                    }
+                    Step::Repeat(Cause::Rejected, "rejected by the target")
                 }
                 Outcome::Refused { reason, retry_after_ms } => {
                     self.log_attempt(&choice, refusal_text(reason));
+                    self.sends.set(self.sends.get().saturating_sub(1));
                     if reason == RefusalReason::Overloaded {
                         let back = Millis(u64::from(retry_after_ms));
-                        hint = Some(hint.map_or(back, |h| h.min(back)));
+                        tries.hint = Some(tries.hint.map_or(back, |h| h.min(back)));
                     } else {
                         self.avoid(&choice);
                     }
-                    hand_backs += 1;
-                    if hand_backs >= MAX_HAND_BACKS {
-                        return self.refuse(refusal_text(reason), hint);
-                    }
+                    tries.hand_backs += 1;
+                    Step::HandBack(refusal_text(reason))
                 }
                 Outcome::Failed(failure) => {
-                    let again = self.route.kind.is_repeatable()
-                        && self.count_send()
-                        && !late
-                        && self.may_repeat(&service);
                     self.log_attempt(&choice, failure_text(failure));
-                    if !again {
-                        let status = if failure == Failure::Deadline { 504 } else { 502 };
-                        return self.fail(status, failure_text(failure));
+                    tries.ran = true;
+                    Step::Repeat(Cause::NoAnswer, failure_text(failure))
+                }
+            };
+            if !out.is_empty() {
+                // Another attempt may still bring the answer.
+                continue;
+            }
+            match step {
+                Step::HandBack(reason) if tries.hand_backs >= MAX_HAND_BACKS => {
+                    return self.give_up(tries, 502, reason);
+                }
+                Step::HandBack(_) => {}
+                Step::Repeat(cause, reason) => {
+                    let safe = cause == Cause::Rejected || self.route.kind.is_repeatable();
+                    if !(safe && self.may_repeat(&service, cause)) {
+                        let status = if reason == "deadline" { 504 } else { 502 };
+                        return self.give_up(tries, status, reason);
                     }
                 }
             }
         }
     }
 
-    /// Counts a send to a target; false when the route allows no further one.
-    fn count_send(&self) -> bool {
-        self.sends.set(self.sends.get() + 1);
+    /// Whether there is an attempt, time and budget left for another send.
+    fn may_repeat(&self, service: &ServiceName, cause: Cause) -> bool {
         self.sends.get() < self.route.max_attempts
+            && self.left() > Millis(2 * HOP_MARGIN.0)
+            && self.node.take_repeat(service, cause)
+    }
+
+    /// When a repeatable request without an answer is sent to a second target as well. The first one is
+    /// not broken off: its answer is taken if it comes after all.
+    fn second_at(&self) -> Option<Instant> {
+        let usual = self.node.usual_answer(&self.route.name)?;
+        let wait = Millis((usual * SECOND_FACTOR).max(SECOND_LEAST.0 as f64) as u64);
+        let enough = (wait.0 as f64 + usual * 1.5) < self.left().0 as f64;
+        let allowed = self.route.kind.is_repeatable() && self.sends.get() < self.route.max_attempts;
+        (allowed && enough).then(|| Instant::now() + wait.to_duration())
     }
 
-    /// Whether there is time and budget for another send.
-    fn may_repeat(&self, service: &ServiceName) -> bool {
-        self.left() > Millis(2 * HOP_MARGIN.0) && self.node.take_repeat(service)
+    fn second_choice(&self, service: &ServiceName, tries: &Tries) -> Option<Choice> {
+        let choice = self.choose(service, tries)?;
+        self.may_repeat(service, Cause::NoAnswer).then_some(choice)
     }
 
     fn avoid(&self, choice: &Choice) {
@@ -329,10 +406,20 @@
         self.node.picker.borrow_mut().avoid(now, &choice.node);
     }
 
-    /// Sends the request to a target. The second value tells that the deadline has passed.
-    async fn attempt(&self, choice: &Choice) -> (Outcome, bool) {
+    /// The final answer when no attempt brought a usable one.
+    fn give_up(&self, tries: Tries, status: u16, reason: &str) -> Response {
+        match tries.failure {
+            Some(answer) => self.answer(answer),
+            None if tries.ran => self.fail(status, reason),
+            None => self.refuse(reason, tries.hint),
+        }
+    }
+
+    /// Sends the request to a target.
+    async fn attempt(&self, choice: Choice) -> (Choice, Outcome, Instant) {
+        let began = Instant::now();
         let millis = |d: Millis| u32::try_from(d.0).unwrap_or(u32::MAX);
-        let to_aim: Millis = self.aim.saturating_duration_since(Instant::now()).into();
+        let to_aim: Millis = self.aim.saturating_duration_since(began).into();
         let head = ForwardHead {
             request_id: self.id.clone(),
             route: self.route.name.clone(),
@@ -347,15 +434,16 @@
             headers: local_target::forwarded_headers(&self.req.head.headers),
         };
         let body = self.req.body.clone();
-        let _out = Out::new(self.node, &choice.node);
-        let sent = timeout_at(self.deadline.into(), self.node.send(&choice.node, head, body));
-        match sent.await {
-            Ok(outcome) => (outcome, false),
-            Err(_) => (Outcome::Failed(Failure::Deadline), true),
-        }
+        self.sends.set(self.sends.get() + 1);
+        let outcome = {
+            let _out = Out::new(self.node, &choice.node);
+            self.node.send(&choice.node, head, body).await
+        };
+        (choice, outcome, began)
     }
 
-    fn choose(&self, service: &ServiceName, tried: &[NodeId], draw: f64) -> Option<Choice> {
+    fn choose(&self, service: &ServiceName, tries: &Tries) -> Option<Choice> {
+        let Tries { tried, draw, .. } = tries;
         let node = self.node;
         let now = node.clock.now();
         let gate = node.gate(service, now);
@@ -370,7 +458,7 @@
             Gate::Without(version) => of(&|v| v != version),
             Gate::Share(version, share) => {
                 // A repeat goes to the old version, which is known to serve.
-                let new = draw < *share && (tried.is_empty() || *share >= 1.0);
+                let new = draw < share && (tried.is_empty() || *share >= 1.0);
                 let first = of(&|v| (v == version) == new);
                 if first.is_empty() { of(&|v| (v == version) != new) } else { first }
             }
@@ -383,13 +471,8 @@
         Some(Choice { node: chosen, record })
     }
 
-    fn answer(
-        &self,
-        choice: &Choice,
-        status: u16,
-        headers: Vec<(SmolStr, Bytes)>,
-        body: Bytes,
-    ) -> Response {
+    fn answer(&self, answer: TargetAnswer) -> Response {
+        let TargetAnswer { choice, status, headers, body } = answer;
         let took = self.req.arrived.elapsed();
         metrics::counter!("ibis_requests_total", "end" => "served").increment(1);
         metrics::histogram!("ibis_request_seconds").record(took.as_secs_f64());
@@ -461,7 +544,6 @@
     match failure {
         Failure::Broken => "connection to the target broke",
         Failure::BadAnswer => "bad answer of the target",
-        Failure::Silent => "target silent",
         Failure::Deadline => "deadline",
         Failure::LinkLost => "connection between nodes broke",
     }
--- a/crates/ibisroute/src/mesh/retry_budget.rs
+++ b/crates/ibisroute/src/mesh/retry_budget.rs
@@ -16,13 +16,38 @@
     pub slack: f64,
     /// Length of the window.
     pub window: Millis,
-    /// Share of the allowance that is spent; the rest covers targets' own calls that a repeat repeats.
+    /// Part of the allowance that all repeats together take; the rest covers calls that targets make
+    /// again in a run that was a repeat.
     pub spend: f64,
+    /// Part of the allowance for repeats after an attempt that may have run. A run may have made calls,
+    /// and its repeat makes them again.
+    pub spend_after_run: f64,
+    /// Part of the allowance for repeats after a failure that a target reported. Often a call of its
+    /// own failed, which was repeated nearer to the fault already.
+    pub spend_after_failure: f64,
+}
+
+/// Why a request is sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The target rejected it; nothing ran.
+    Rejected,
+    /// There was no usable answer.
+    NoAnswer,
+    /// The target reported a failure.
+    TargetFailure,
 }
 
 impl Default for BudgetSettings {
     fn default() -> Self {
-        Self { ratio: 0.2, slack: 50.0, window: Millis(10_000), spend: 0.6 }
+        Self {
+            ratio: 0.2,
+            slack: 50.0,
+            window: Millis(10_000),
+            spend: 0.55,
+            spend_after_run: 0.4,
+            spend_after_failure: 0.1,
+        }
     }
 }
 
@@ -31,6 +56,8 @@
     start: Millis,
     requests: u32,
     repeats: u32,
+    after_run: u32,
+    after_failure: u32,
 }
 
 /// Budget of one service on one node.
@@ -46,15 +73,22 @@
     }
 
     /// Takes one repeat if the window has room; `nodes` share the slack.
-    pub fn take(&mut self, now: Millis, nodes: usize, cfg: &BudgetSettings) -> bool {
+    pub fn take(&mut self, now: Millis, cause: Cause, nodes: usize, cfg: &BudgetSettings) -> bool {
         self.step(now, cfg);
-        let requests: u32 = self.steps.iter().map(|s| s.requests).sum();
-        let repeats: u32 = self.steps.iter().map(|s| s.repeats).sum();
-        let slack = cfg.slack / nodes.max(1) as f64;
-        let allowed = cfg.spend * (cfg.ratio * f64::from(requests) + slack);
-        let room = f64::from(repeats) + 1.0 <= allowed;
+        let sum = |of: fn(&Counts) -> u32| f64::from(self.steps.iter().map(of).sum::<u32>());
+        let allowance = cfg.ratio * sum(|s| s.requests) + cfg.slack / nodes.max(1) as f64;
+        let fits = |used: f64, part: f64| used + 1.0 <= part * allowance;
+        let room = fits(sum(|s| s.repeats), cfg.spend)
+            && match cause {
+                Cause::Rejected => true,
+                Cause::NoAnswer => fits(sum(|s| s.after_run), cfg.spend_after_run),
+                Cause::TargetFailure => fits(sum(|s| s.after_failure), cfg.spend_after_failure),
+            };
         if room {
-            self.step(now, cfg).repeats += 1;
+            let step = self.step(now, cfg);
+            step.repeats += 1;
+            step.after_run += u32::from(cause != Cause::Rejected);
+            step.after_failure += u32::from(cause == Cause::TargetFailure);
         }
         room
     }
--- a/crates/ibisroute/src/mesh/target_health.rs
+++ b/crates/ibisroute/src/mesh/target_health.rs
@@ -13,10 +13,10 @@
     pub weight: f64,
     /// Half-life of the failing share without results, so that a target is tried again.
     pub half_life: Millis,
-    /// Multiple of the average service time after which a request without an answer is taken as lost,
-    /// if it may be repeated.
+    /// Multiple of the average service time after which a request that was given up without an answer
+    /// counts as lost.
     pub lost_factor: f64,
-    /// Shortest time after which a request is taken as lost.
+    /// Shortest time after which such a request counts as lost.
     pub lost_least: Millis,
     /// Requests in a row that were lost or broken after which the target counts as down until it is
     /// heard again.
--- /dev/null
+++ b/crates/ibisroute/tests/http_messages.rs
@@ -0,0 +1,145 @@
+//! HTTP/1.1 framing: what is smuggled, cut or extra must not pass for a message.
+
+use bytes::BytesMut;
+use ibisroute::mesh::http1;
+use ibisroute::mesh::http1::BodyReader;
+use ibisroute::mesh::http1::Framing;
+use ibisroute::mesh::http1::HttpError;
+use quickcheck::QuickCheck;
+
+const LIMIT: usize = 4096;
+
+fn request(head: &str) -> Result<Option<(http1::RequestHead, usize)>, HttpError> {
+    http1::parse_request(head.as_bytes(), LIMIT)
+}
+
+/// Guards against requests smuggled by two framings, or by a coding that is not understood.
+#[test]
+fn smuggling_is_refused() {
+    for framing in [
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Content-Length: +5\r\n",
+        "Content-Length: \r\n",
+        "Content-Length: 5, 5\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: xchunked\r\n",
+        "Content-Length : 5\r\n",
+        "Host: b\r\n",
+    ] {
+        let head = format!("POST /a/ HTTP/1.1\r\nHost: a\r\n{framing}\r\n");
+        assert_eq!(request(&head), Err(HttpError::Malformed), "{framing:?}");
+    }
+    assert_eq!(request("GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n"), Err(HttpError::Malformed));
+    assert_eq!(request("GET /a/ HTTP/1.1\r\n\r\n"), Err(HttpError::Malformed));
+}
+
+/// Guards against a proper request that is refused or framed wrongly.
+#[test]
+fn proper_heads_are_parsed() {
+    let text = "GET /a/b?c=d HTTP/1.1\r\nHost: a\r\nX: 1\r\n\r\nrest";
+    let (head, used) = request(text).expect("proper").expect("whole");
+    assert_eq!((head.method.as_str(), head.target.as_str()), ("GET", "/a/b?c=d"));
+    assert_eq!((head.framing, head.keep_alive), (Framing::Empty, true));
+    assert_eq!(&text[used..], "rest");
+    let (head, _) = request(
+        "POST /a/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: Chunked\r\nConnection: close\r\n\r\n",
+    )
+    .expect("proper")
+    .expect("whole");
+    assert_eq!((head.framing, head.keep_alive), (Framing::Chunked, false));
+    assert_eq!(request("GET /a/ HTTP/1.1\r\nHost"), Ok(None));
+    let long = format!("GET /a/ HTTP/1.1\r\nX: {}\r\n\r\n", "y".repeat(LIMIT));
+    assert_eq!(request(&long), Err(HttpError::HeadTooLong));
+}
+
+/// Guards against headers of one connection that travel to the target.
+#[test]
+fn hop_headers_stay_behind() {
+    let head = "GET /a/ HTTP/1.1\r\nHost: a\r\nConnection: X-Own, keep-alive\r\nX-Own: 1\r\nKeep-Alive: 5\r\nX-Far: 2\r\nTE: trailers\r\n\r\n";
+    let (head, _) = request(head).expect("proper").expect("whole");
+    let names: Vec<&str> = head.headers.end_to_end().map(|(n, _)| n.as_str()).collect();
+    assert_eq!(names, ["Host", "X-Far"]);
+}
+
+fn read_all(
+    framing: Framing,
+    bytes: &[u8],
+    step: usize,
+) -> Result<(bool, Vec<u8>, usize), HttpError> {
+    let mut reader = BodyReader::new(framing, 1_000)?;
+    let mut buf = BytesMut::new();
+    let mut whole = reader.take(&mut buf)?;
+    for piece in bytes.chunks(step.max(1)) {
+        buf.extend_from_slice(piece);
+        if !whole {
+            whole = reader.take(&mut buf)?;
+        }
+    }
+    Ok((whole, reader.into_body().to_vec(), buf.len()))
+}
+
+/// Guards against a body that depends on how its bytes are split, and bytes behind it that are taken.
+#[test]
+fn chunks_in_any_pieces() {
+    let wire = b"5\r\nhello\r\n6;x=y\r\n world\r\n0\r\nT: 1\r\n\r\nGET";
+    for step in 1..wire.len() {
+        let read = read_all(Framing::Chunked, wire, step);
+        assert_eq!(read, Ok((true, b"hello world".to_vec(), 3)), "step {step}");
+    }
+}
+
+/// Guards against broken chunks that pass for a body.
+#[test]
+fn bad_chunks_are_refused() {
+    for wire in [&b"5\r\nhelloX\r\n"[..], b"zz\r\n", b"-1\r\n", b"fffffffff\r\n"] {
+        assert!(read_all(Framing::Chunked, wire, 3).is_err(), "{wire:?}");
+    }
+    assert_eq!(read_all(Framing::Length(1_001), b"", 1), Err(HttpError::BodyTooLong));
+}
+
+/// Guards against a cut body that looks whole.
+#[test]
+fn cut_bodies_are_not_whole() {
+    let mut reader = BodyReader::new(Framing::Length(10), 100).expect("short enough");
+    let mut buf = BytesMut::from(&b"12345"[..]);
+    assert_eq!(reader.take(&mut buf), Ok(false));
+    assert!(!reader.close());
+    let mut reader = BodyReader::new(Framing::Close, 100).expect("short enough");
+    let mut buf = BytesMut::from(&b"12345"[..]);
+    assert_eq!(reader.take(&mut buf), Ok(false));
+    assert!(reader.close());
+}
+
+/// Guards against a crash on arbitrary bytes from callers or targets.
+#[test]
+fn any_bytes_are_survived() {
+    fn survives(bytes: Vec<u8>) -> bool {
+        let _ = http1::parse_request(&bytes, LIMIT);
+        let _ = http1::parse_response(&bytes, "GET", LIMIT);
+        let _ = read_all(Framing::Chunked, &bytes, 3);
+        true
+    }
+    QuickCheck::new().tests(2_000).quickcheck(survives as fn(Vec<u8>) -> bool);
+}
+
+/// Guards against an answer framed by both a length and chunks, or taken as endless.
+#[test]
+fn response_framing() {
+    let parse = |text: &str, method: &str| {
+        http1::parse_response(text.as_bytes(), method, LIMIT).map(|p| p.map(|(h, _)| h.framing))
+    };
+    assert_eq!(
+        parse("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "GET"),
+        Ok(Some(Framing::Length(3)))
+    );
+    assert_eq!(
+        parse("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", "HEAD"),
+        Ok(Some(Framing::Empty))
+    );
+    assert_eq!(parse("HTTP/1.1 204 No\r\n\r\n", "GET"), Ok(Some(Framing::Empty)));
+    assert_eq!(parse("HTTP/1.1 200 OK\r\n\r\n", "GET"), Ok(Some(Framing::Close)));
+    let both = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assert_eq!(parse(both, "GET"), Err(HttpError::Malformed));
+}
--- /dev/null
+++ b/crates/ibisroute/tests/operator_rows.rs
@@ -0,0 +1,152 @@
+//! The operator's rows: decoding whole or not at all, and how rows reach one state by any way.
+
+use ibisroute::mesh::byte_delta::ByteDelta;
+use ibisroute::mesh::facts::FactValue;
+use ibisroute::mesh::facts::Facts;
+use ibisroute::mesh::facts::Learned;
+use ibisroute::mesh::facts::RowChange;
+use ibisroute::mesh::facts::RowVersion;
+use ibisroute::mesh::facts::Source;
+use ibisroute::mesh::rollout::Verdict;
+use ibisroute::mesh::routes::Kind;
+use ibisroute::platform::operator;
+use ibisroute::types::Millis;
+use quickcheck::QuickCheck;
+use smol_str::SmolStr;
+
+fn config(version: u64, routes: usize) -> String {
+    let route = |i: usize| {
+        format!(
+            r#"{{"resource_type":"routes","metadata":{{"name":"r-{i}"}},"spec":{{"host":"a.example","prefix":"/p{i}/","type":"safe","timeout_s":1.2,"target_latency_s":0.5,"priority":2,"service":"counter","max_attempts":2}}}}"#
+        )
+    };
+    let routes: Vec<String> = (0..routes).map(route).collect();
+    format!(
+        r#"{{"version":{version},"resources":[{},{{"resource_type":"services","metadata":{{"name":"counter"}},"spec":{{"health_check_path":"/health","max_connections":120}}}},{{"resource_type":"limits","metadata":{{}},"spec":{{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_s":3,"idle_timeout_s":15}}}}]}}"#,
+        routes.join(",")
+    )
+}
+
+fn row(key: &str, version: u64, value: &str) -> RowChange {
+    let value = Some(value.as_bytes().to_vec().into());
+    RowChange { key: SmolStr::new(key), version: RowVersion(version), value }
+}
+
+/// Guards against a field of a route or of the limits that is read as another one.
+#[test]
+fn config_is_decoded() {
+    let table = operator::decode_config(config(7, 2).as_bytes()).expect("a valid configuration");
+    assert_eq!(table.version.0, 7);
+    let route = table.find("a.example", "/p1/x").expect("a route");
+    assert_eq!((route.kind, route.priority, route.max_attempts), (Kind::Safe, 2, 2));
+    assert_eq!((route.timeout, route.aim), (Millis(1_200), Millis(500)));
+    assert_eq!(table.limits.body_bytes.0, 1_000);
+    assert_eq!(table.limits.idle_timeout, Millis(15_000));
+}
+
+/// Guards against a configuration that is taken in part.
+#[test]
+fn bad_config_is_refused_whole() {
+    let good = config(1, 3);
+    for (from, to) in [
+        (
+            "\"service\":\"counter\",\"max_attempts\":2}}",
+            "\"service\":\"nobody\",\"max_attempts\":2}}",
+        ),
+        ("\"timeout_s\":1.2", "\"timeout_s\":0"),
+        ("\"max_attempts\":2", "\"max_attempts\":0"),
+        ("\"prefix\":\"/p2/\"", "\"prefix\":\"p2\""),
+    ] {
+        let bad = good.replacen(from, to, 1);
+        assert_ne!(bad, good);
+        assert!(operator::decode_config(bad.as_bytes()).is_err(), "{to}");
+    }
+    let mut facts = Facts::default();
+    assert!(matches!(facts.apply(Source::Operator, row("config", 5, &good)), Learned::Config(_)));
+    let cut = &good[..good.len() - 2];
+    let learned = facts.apply(Source::Operator, row("config", 6, cut));
+    assert!(matches!(learned, Learned::Rejected(..)), "{learned:?}");
+    assert_eq!(facts.config_row(), RowVersion(5));
+    assert_eq!(facts.config().map(|c| c.version.0), Some(1));
+}
+
+/// Guards against a state word that the operator does not know, and against reading one wrongly.
+#[test]
+fn progress_round_trips() {
+    for (verdict, word) in [
+        (Verdict::Running, "running"),
+        (Verdict::Completed, "completed"),
+        (Verdict::RolledBack, "rolled_back"),
+    ] {
+        let to = "v2".parse().expect("a valid name");
+        let progress = ibisroute::mesh::rollout::Progress { to, verdict };
+        let text = operator::encode_progress(&progress);
+        assert!(String::from_utf8_lossy(&text).contains(&format!("\"{word}\"")));
+        assert_eq!(operator::decode_progress(&text), Ok(progress));
+    }
+}
+
+/// Guards against an older configuration that replaces a newer one, from whatever side it comes.
+#[test]
+fn versions_only_rise() {
+    let mut facts = Facts::default();
+    facts.apply(Source::Operator, row("config", 9, &config(3, 1)));
+    let learned = facts.apply(Source::Operator, row("config", 8, &config(2, 1)));
+    assert!(matches!(learned, Learned::Known));
+    assert_eq!(facts.config().map(|c| c.version.0), Some(3));
+}
+
+/// Guards against peers that do not reach the same state, and against whole configurations on the wire
+/// where a difference is enough.
+#[test]
+fn peers_converge_by_differences() {
+    let (mut reader, mut peer) = (Facts::default(), Facts::default());
+    reader.apply(Source::Operator, row("config", 10, &config(1, 300)));
+    for fact in reader.since(peer.newest(), peer.config_row()) {
+        assert!(peer.apply_fact(fact).is_some());
+    }
+    let changed = config(2, 300).replacen("\"timeout_s\":1.2", "\"timeout_s\":0.9", 1);
+    reader.apply(Source::Operator, row("config", 11, &changed));
+    reader.apply(
+        Source::Operator,
+        row("rollout/counter", 12, r#"{"service":"counter","to":"v2","duration_s":12}"#),
+    );
+    let facts = reader.since(peer.newest(), peer.config_row());
+    assert_eq!(facts.len(), 2);
+    for fact in facts {
+        if let FactValue::Whole(value) = &fact.value {
+            assert!(value.len() < 200, "a whole configuration of {} bytes", value.len());
+        }
+        assert!(peer.apply_fact(fact).is_some());
+    }
+    assert_eq!(peer.newest(), reader.newest());
+    assert_eq!(peer.config_row(), RowVersion(11));
+    let route = peer.config().and_then(|c| c.find("a.example", "/p0/x").cloned());
+    assert_eq!(route.map(|r| r.timeout), Some(Millis(900)));
+}
+
+/// Guards against a difference that is applied to another base.
+#[test]
+fn wrong_base_is_refused() {
+    let (mut reader, mut peer) = (Facts::default(), Facts::default());
+    reader.apply(Source::Operator, row("config", 10, &config(1, 3)));
+    reader.apply(Source::Operator, row("config", 11, &config(2, 3)));
+    peer.apply(Source::Operator, row("config", 9, &config(0, 2)));
+    let facts = reader.since(RowVersion(10), RowVersion(10));
+    assert!(facts.into_iter().all(|f| peer.apply_fact(f).is_none()));
+    assert_eq!(peer.config_row(), RowVersion(9));
+}
+
+/// Guards against a delta that makes another text.
+#[test]
+fn deltas_rebuild_any_text() {
+    fn holds(base: Vec<u8>, text: Vec<u8>) -> bool {
+        let shape = |bytes: &[u8]| -> Vec<u8> {
+            bytes.iter().map(|b| if b % 5 == 0 { b'}' } else { b'a' + b % 7 }).collect()
+        };
+        let (base, text) = (shape(&base), shape(&text));
+        let delta = ByteDelta::between(&base, &text);
+        delta.apply(&base).as_deref() == Some(&text[..])
+    }
+    QuickCheck::new().quickcheck(holds as fn(Vec<u8>, Vec<u8>) -> bool);
+}
--- /dev/null
+++ b/crates/ibisroute/tests/route_table.rs
@@ -0,0 +1,81 @@
+//! Routes by host and prefix, and the shares of split routes.
+
+use std::collections::BTreeMap;
+
+use ibisroute::mesh::routes::ClientLimits;
+use ibisroute::mesh::routes::Kind;
+use ibisroute::mesh::routes::Part;
+use ibisroute::mesh::routes::Route;
+use ibisroute::mesh::routes::RouteTable;
+use ibisroute::mesh::routes::SplitChooser;
+use ibisroute::types::ConfigVersion;
+use ibisroute::types::Millis;
+use smol_str::SmolStr;
+
+fn route(name: &str, host: &str, prefix: &str, parts: &[(&str, f64)]) -> Route {
+    let part = |(service, weight): &(&str, f64)| Part {
+        service: service.parse().expect("a valid name"),
+        weight: *weight,
+    };
+    Route {
+        name: SmolStr::new(name),
+        host: SmolStr::new(host),
+        prefix: SmolStr::new(prefix),
+        kind: Kind::Safe,
+        timeout: Millis(1_000),
+        aim: Millis(400),
+        priority: 1,
+        parts: parts.iter().map(part).collect(),
+        max_attempts: 2,
+    }
+}
+
+fn table(routes: Vec<Route>) -> RouteTable {
+    RouteTable::new(ConfigVersion(1), routes, BTreeMap::new(), ClientLimits::default())
+}
+
+/// Guards against a shorter prefix, another host or a partial segment that takes a request.
+#[test]
+fn longest_prefix_wins() {
+    let all = [("s", 1.0)];
+    let table = table(vec![
+        route("root", "a.example", "/", &all),
+        route("short", "a.example", "/x/", &all),
+        route("long", "a.example", "/x/y/", &all),
+        route("other", "b.example", "/x/y/z/", &all),
+    ]);
+    let name = |host, path| table.find(host, path).map(|r| r.name.as_str());
+    assert_eq!(name("a.example", "/x/y/z/1"), Some("long"));
+    assert_eq!(name("a.example", "/x/y"), Some("short"));
+    assert_eq!(name("A.EXAMPLE:8141", "/x/yy/1"), Some("short"));
+    assert_eq!(name("a.example", "/xx?q=/x/y/"), Some("root"));
+    assert_eq!(name("b.example", "/x/y/1"), None);
+    assert_eq!(name("c.example", "/"), None);
+}
+
+/// Guards against shares that are right only over thousands of requests.
+#[test]
+fn shares_hold_early() {
+    let route = route("split", "a.example", "/", &[("big", 90.0), ("small", 10.0)]);
+    for start in [0.0, 0.3, 0.9] {
+        for n in 1..=200 {
+            let mut small = 0;
+            let mut fresh = SplitChooser::default();
+            for _ in 0..n {
+                let chosen = fresh.choose(&route, start).expect("a part");
+                small += u32::from(chosen.as_str() == "small");
+            }
+            let off = f64::from(small) - f64::from(n) * 0.1;
+            assert!(off.abs() <= 1.0, "{small} of {n}");
+        }
+    }
+}
+
+/// Guards against requests to a part without weight.
+#[test]
+fn zero_weight_gets_none() {
+    let route = route("split", "a.example", "/", &[("on", 1.0), ("off", 0.0)]);
+    let mut chooser = SplitChooser::default();
+    let off = (0..100).filter(|_| chooser.choose(&route, 0.5).is_some_and(|s| s.as_str() == "off"));
+    assert_eq!(off.count(), 0);
+}
--- /dev/null
+++ b/crates/ibisroute/tests/target_choice.rs
@@ -0,0 +1,97 @@
+//! Choice of a target among those of a service.
+
+use ibisroute::mesh::picker::Ask;
+use ibisroute::mesh::picker::Candidate;
+use ibisroute::mesh::picker::Picker;
+use ibisroute::mesh::picker::PickerSettings;
+use ibisroute::mesh::slot_queue::Load;
+use ibisroute::types::Millis;
+use ibisroute::types::NodeId;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn node(name: &str) -> NodeId {
+    name.parse().expect("a valid name")
+}
+
+fn candidate(name: &str, near: bool, load: Load) -> Candidate {
+    Candidate { node: node(name), near, cold: false, load }
+}
+
+fn load(running: u32, waiting: u32, service_ms: f32) -> Load {
+    Load { running, waiting, slots: 9, service_ms, failing: 0.0 }
+}
+
+fn picker() -> Picker {
+    Picker::new(PickerSettings::default(), SmallRng::seed_from_u64(7))
+}
+
+fn ask(bytes: usize) -> Ask {
+    Ask { now: Millis(1_000), to_aim: Millis(400), bytes }
+}
+
+/// Guards against long bodies that cross data centres while a near target is free.
+#[test]
+fn uploads_stay_near() {
+    let near = candidate("near", true, load(7, 0, 140.0));
+    let far = candidate("far", false, load(0, 0, 100.0));
+    assert_eq!(picker().choose(ask(60_000), &[far, near]), Some(node("near")));
+}
+
+/// Guards against waiting in a long queue nearby while another data centre is idle.
+#[test]
+fn queues_spill_over() {
+    let near = candidate("near", true, load(9, 20, 140.0));
+    let far = candidate("far", false, load(1, 0, 140.0));
+    assert_eq!(picker().choose(ask(0), &[near, far]), Some(node("far")));
+}
+
+/// Guards against a target that rejects quickly and so draws the traffic of all.
+#[test]
+fn quick_failures_repel() {
+    let failing = Load { failing: 0.5, ..load(0, 0, 5.0) };
+    let sound = load(5, 0, 120.0);
+    let candidates = [candidate("failing", true, failing), candidate("sound", true, sound)];
+    assert_eq!(picker().choose(ask(0), &candidates), Some(node("sound")));
+}
+
+/// Guards against a herd: requests sent since the last report count before the next one arrives.
+#[test]
+fn own_sends_count() {
+    let mut picker = picker();
+    let candidates =
+        [candidate("a", true, load(0, 0, 100.0)), candidate("b", true, load(0, 0, 101.0))];
+    let mut counts = [0, 0];
+    for _ in 0..18 {
+        let chosen = picker.choose(ask(0), &candidates).expect("a target");
+        counts[usize::from(chosen == node("b"))] += 1;
+        picker.sent(&chosen);
+    }
+    assert!(counts.iter().all(|c| (6..=12).contains(c)), "{counts:?}");
+}
+
+/// Guards against sends to a target that has just refused a connection.
+#[test]
+fn refused_is_avoided() {
+    let mut picker = picker();
+    picker.avoid(Millis(1_000), &node("a"));
+    let candidates =
+        [candidate("a", true, load(0, 0, 50.0)), candidate("b", false, load(8, 0, 300.0))];
+    assert_eq!(picker.choose(ask(0), &candidates), Some(node("b")));
+    assert_eq!(picker.choose(ask(0), &candidates[..1]), Some(node("a")));
+}
+
+/// Guards against a slow target that gets the same share as a fast one.
+#[test]
+fn slow_gets_less() {
+    let mut picker = picker();
+    let candidates =
+        [candidate("slow", true, load(0, 0, 600.0)), candidate("fast", true, load(0, 0, 120.0))];
+    let mut slow = 0;
+    for _ in 0..12 {
+        let chosen = picker.choose(ask(0), &candidates).expect("a target");
+        slow += u32::from(chosen == node("slow"));
+        picker.sent(&chosen);
+    }
+    assert!(slow <= 2, "{slow} of 12");
+}
