Refuse the last callers of a stopping node; forget old speeds; try targets that join

A new run starts without an estimate, estimates fade while a target is idle, and each node tries a new run once.

--- a/crates/ibisroute/src/bin/ibisrouted.rs
+++ b/crates/ibisroute/src/bin/ibisrouted.rs
@@ -40,7 +40,6 @@
             Arg::new("mesh")
                 .long("mesh")
                 .action(ArgAction::SetTrue)
-                .conflicts_with("stop-on-stdin-end")
                 .help("Run on the users' platform, with the settings of docs/platform.md"),
         )
         .arg(
@@ -57,7 +56,7 @@
         )
 }
 
-fn run_mesh(file: &Path, check: bool) -> ExitCode {
+fn run_mesh(file: &Path, check: bool, stop: StopCause) -> ExitCode {
     let settings = match MeshSettings::load(file) {
         Ok(settings) => settings,
         Err(e) => {
@@ -68,7 +67,7 @@
     if check {
         return print_settings(&settings);
     }
-    match mesh::run::run(file, settings) {
+    match mesh::run::run(file, settings, stop) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("error: {e:#}");
@@ -93,8 +92,13 @@
 fn main() -> ExitCode {
     let args = command().get_matches();
     let file = args.get_one::<PathBuf>("settings").expect("clap requires --settings");
+    let stop = if args.get_flag("stop-on-stdin-end") {
+        StopCause::SignalOrStdinEnd
+    } else {
+        StopCause::Signal
+    };
     if args.get_flag("mesh") {
-        return run_mesh(file, args.get_flag("check"));
+        return run_mesh(file, args.get_flag("check"), stop);
     }
     let settings = match NodeSettings::load(file) {
         Ok(settings) => settings,
@@ -106,11 +110,6 @@
     if args.get_flag("check") {
         return print_settings(&settings);
     }
-    let stop = if args.get_flag("stop-on-stdin-end") {
-        StopCause::SignalOrStdinEnd
-    } else {
-        StopCause::Signal
-    };
     match logging::start(&settings.log).and_then(|()| run::run(settings, stop)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/crates/ibisroute/src/mesh/http_server.rs
+++ b/crates/ibisroute/src/mesh/http_server.rs
@@ -1,6 +1,5 @@
 //! Serves HTTP/1.1 on a listener: one request at a time on a connection, bodies read whole.
 
-use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::rc::Rc;
@@ -95,18 +94,12 @@
 }
 
 /// Accepts connections until the future is dropped.
-pub async fn serve<H: Handler + 'static>(
-    listener: TcpListener,
-    handler: Rc<H>,
-    open: Rc<Cell<usize>>,
-) {
+pub async fn serve<H: Handler + 'static>(listener: TcpListener, handler: Rc<H>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let guard = OpenGuard::new(open.clone());
                 let handler = handler.clone();
                 actix_rt::spawn(async move {
-                    let _guard = guard;
                     // The caller has gone when its connection fails; there is nobody to tell.
                     let _ = Connection::new(stream).run(handler).await;
                 });
@@ -116,22 +109,6 @@
     }
 }
 
-/// Counts an open connection.
-struct OpenGuard(Rc<Cell<usize>>);
-
-impl OpenGuard {
-    fn new(open: Rc<Cell<usize>>) -> Self {
-        open.set(open.get() + 1);
-        Self(open)
-    }
-}
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
-
 struct Connection {
     stream: TcpStream,
     buf: BytesMut,
--- a/crates/ibisroute/src/mesh/local_target.rs
+++ b/crates/ibisroute/src/mesh/local_target.rs
@@ -139,7 +139,7 @@
                     inner.health.restart(now);
                     inner.evidence.clear();
                     inner.idle.clear();
-                    inner.queue.reset(now, slots)
+                    inner.queue.restart(now, slots)
                 }
                 Change::Updated => inner.queue.reset(now, slots),
                 Change::Leaving => inner.queue.leave(),
@@ -193,8 +193,9 @@
     /// Load of the target.
     pub fn load(&self) -> Load {
         let inner = self.inner.borrow();
-        let failing = inner.health.failing(self.clock.now(), &self.health) as f32;
-        Load { failing, ..inner.queue.load() }
+        let now = self.clock.now();
+        let failing = inner.health.failing(now, &self.health) as f32;
+        Load { failing, ..inner.queue.load(now) }
     }
 
     /// Calls that are here, waiting or running.
@@ -414,9 +415,8 @@
 
     /// Counts a request that was given up without an answer as lost if it took very long.
     fn count_if_lost(&self, took: Millis) {
-        let usual = self.inner.borrow().queue.load().service_ms;
-        let lost =
-            (f64::from(usual) * self.health.lost_factor).max(self.health.lost_least.0 as f64);
+        let usual = self.inner.borrow().queue.service_ms("");
+        let lost = (usual * self.health.lost_factor).max(self.health.lost_least.0 as f64);
         if took.0 as f64 > lost {
             self.inner.borrow_mut().idle.clear();
             self.count(Ended::Lost);
--- a/crates/ibisroute/src/mesh/node.rs
+++ b/crates/ibisroute/src/mesh/node.rs
@@ -428,7 +428,9 @@
                 self.hear_of_moves(&status.order_ages, &status.withdrawn);
                 self.trim();
                 self.picker.borrow_mut().reported(from);
-                self.peers.hear(from, *status);
+                if self.peers.hear(from, *status) {
+                    self.picker.borrow_mut().restarted(from);
+                }
                 if newer {
                     self.ask_for_rows(reply);
                 }
--- a/crates/ibisroute/src/mesh/peers.rs
+++ b/crates/ibisroute/src/mesh/peers.rs
@@ -94,15 +94,15 @@
         }
     }
 
-    /// Keeps a status. Returns whether the peer is known.
+    /// Keeps a status. Returns whether it tells of a new run of the target.
     pub fn hear(&self, node: &NodeId, status: Status) -> bool {
-        match self.map.borrow_mut().get_mut(node) {
-            Some(peer) => {
-                peer.status = Some(status);
-                true
-            }
-            None => false,
-        }
+        let mut map = self.map.borrow_mut();
+        let Some(peer) = map.get_mut(node) else { return false };
+        let run = |s: &Status| s.instance.as_ref().map(|i| (i.id.clone(), i.born));
+        let before = peer.status.as_ref().and_then(run);
+        let restarted = before != run(&status);
+        peer.status = Some(status);
+        restarted
     }
 
     /// Notes which rows a peer has after they were sent to it.
--- a/crates/ibisroute/src/mesh/picker.rs
+++ b/crates/ibisroute/src/mesh/picker.rs
@@ -32,6 +32,13 @@
     pub avoid: Millis,
     /// Extra cost, as a multiple of the service time, of a target whose slots are all in use.
     pub busy_cost: f64,
+    /// Service time that is assumed when no target of a service has told one.
+    pub unknown_service: Millis,
+    /// Multiple of the cost of a target that this node has not used yet, so that a target that joins
+    /// gets work, and its speed becomes known.
+    pub first_use: f64,
+    /// Longest body with which a target is tried for the first time.
+    pub first_use_bytes: usize,
 }
 
 impl Default for PickerSettings {
@@ -45,6 +52,9 @@
             compared: 12,
             avoid: Millis(300),
             busy_cost: 0.5,
+            unknown_service: Millis(100),
+            first_use: 0.6,
+            first_use_bytes: 8 * 1024,
         }
     }
 }
@@ -70,6 +80,8 @@
     /// Requests of this node that were out at the last report.
     reported_outstanding: u32,
     avoid_until: Millis,
+    /// Whether a request of this node went to the present run of the target.
+    used: bool,
 }
 
 /// Chooses targets by the expected time to an answer.
@@ -112,11 +124,12 @@
             picked.truncate(kept);
             picked.extend(far.into_iter().take(self.cfg.compared - kept));
         }
+        let usual = usual_service(candidates).unwrap_or(self.cfg.unknown_service.0 as f64);
         picked
             .into_iter()
             .map(|i| {
                 let scatter = 1.0 + self.rng.random::<f64>() * 0.05;
-                (self.cost_ms(ask, &candidates[i]) * scatter, i)
+                (self.cost_ms(ask, &candidates[i], usual) * scatter, i)
             })
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, i)| candidates[i].node.clone())
@@ -124,7 +137,9 @@
 
     /// Counts a request that goes to a target.
     pub fn sent(&mut self, node: &NodeId) {
-        self.seen.entry(node.clone()).or_default().outstanding += 1;
+        let seen = self.seen.entry(node.clone()).or_default();
+        seen.outstanding += 1;
+        seen.used = true;
     }
 
     /// Counts a request that has ended.
@@ -152,13 +167,21 @@
         self.seen.entry(node.clone()).or_default().avoid_until = until;
     }
 
+    /// A new run of a target has begun beside a node.
+    pub fn restarted(&mut self, node: &NodeId) {
+        if let Some(seen) = self.seen.get_mut(node) {
+            seen.used = false;
+        }
+    }
+
     /// Forgets a target whose node is gone.
     pub fn forget(&mut self, node: &NodeId) {
         self.seen.remove(node);
     }
 
-    /// Expected time to an answer, with the extra costs, in milliseconds.
-    pub fn cost_ms(&self, ask: Ask, candidate: &Candidate) -> f64 {
+    /// Expected time to an answer, with the extra costs, in milliseconds. `usual_ms` stands in for a
+    /// service time that is not known.
+    fn cost_ms(&self, ask: Ask, candidate: &Candidate, usual_ms: f64) -> f64 {
         let cfg = &self.cfg;
         let load = candidate.load;
         let seen = self.seen.get(&candidate.node).copied().unwrap_or_default();
@@ -166,8 +189,9 @@
         let others = (reported - f64::from(seen.reported_outstanding)).max(0.0);
         let total = others + f64::from(seen.outstanding);
         let slots = f64::from(load.slots.max(1));
-        let service =
-            f64::from(load.service_ms) * if candidate.cold { cfg.cold_factor } else { 1.0 };
+        let told = f64::from(load.service_ms);
+        let service = if told > 0.0 { told } else { usual_ms };
+        let service = service * if candidate.cold { cfg.cold_factor } else { 1.0 };
         let over = (total + 1.0 - slots).max(0.0) / slots;
         let busy = cfg.busy_cost * (total / slots).min(1.0).powi(4);
         let to_aim = ask.to_aim.0 as f64;
@@ -176,6 +200,9 @@
             let bytes = ask.bytes as f64 / 1024.0 * cfg.cross_cost_ms_per_kb;
             cost += cfg.cross_cost.0 as f64 + bytes.min(to_aim * cfg.cross_cost_share);
         }
+        if !seen.used && !candidate.cold && ask.bytes <= cfg.first_use_bytes {
+            cost *= cfg.first_use;
+        }
         cost += f64::from(load.failing) * cfg.failure_cost * to_aim;
         if ask.now < seen.avoid_until {
             cost += 10.0 * to_aim + 1.0;
@@ -183,3 +210,10 @@
         cost
     }
 }
+
+/// Mean of the service times that are known.
+fn usual_service(candidates: &[Candidate]) -> Option<f64> {
+    let known = candidates.iter().map(|c| f64::from(c.load.service_ms)).filter(|ms| *ms > 0.0);
+    let (sum, count) = known.fold((0.0, 0), |(sum, count), ms| (sum + ms, count + 1));
+    (count > 0).then(|| sum / f64::from(count))
+}
--- a/crates/ibisroute/src/mesh/run.rs
+++ b/crates/ibisroute/src/mesh/run.rs
@@ -1,9 +1,9 @@
 //! Start, reload and graceful stop of a node.
 
-use std::cell::Cell;
 use std::path::Path;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::SystemTime;
 
@@ -13,6 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
@@ -30,6 +31,8 @@
 use super::proxy::Proxy;
 use super::socket;
 use crate::events::mesh as codes;
+use crate::node::run::StopCause;
+use crate::node::run::drain_at_stdin_end;
 use crate::platform::client::HttpPlatform;
 use crate::types::Millis;
 
@@ -43,6 +46,10 @@
 /// Time before the end of the grace period at which the process ends in any case.
 const END_BEFORE: Duration = Duration::from_millis(300);
 
+/// Time in which a stopping node that has become idle still answers, with refusals only. A request that
+/// crosses the end is then refused and not cut.
+const LAST_REFUSALS: Duration = Duration::from_millis(250);
+
 /// How often a stopping node looks whether it is idle.
 const IDLE_CHECK: Duration = Duration::from_millis(50);
 
@@ -52,12 +59,16 @@
 /// Upper bounds of the latency histogram, in seconds; they span the aims of all routes.
 const LATENCY_BOUNDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0];
 
-/// Runs a node until SIGTERM.
-pub fn run(file: &Path, cfg: MeshSettings) -> eyre::Result<()> {
-    actix_rt::System::new().block_on(serve(file.to_path_buf(), cfg))
+/// Runs a node until it is told to stop.
+pub fn run(file: &Path, cfg: MeshSettings, stop: StopCause) -> eyre::Result<()> {
+    let stdin_end = Arc::new(Notify::new());
+    if stop == StopCause::SignalOrStdinEnd {
+        drain_at_stdin_end(stdin_end.clone())?;
+    }
+    actix_rt::System::new().block_on(serve(file.to_path_buf(), cfg, stdin_end))
 }
 
-async fn serve(file: PathBuf, cfg: MeshSettings) -> eyre::Result<()> {
+async fn serve(file: PathBuf, cfg: MeshSettings, stdin_end: Arc<Notify>) -> eyre::Result<()> {
     let log = DecisionLog::start(cfg.log);
     let latency = Matcher::Full("ibis_request_seconds".to_string());
     let recorder = PrometheusBuilder::new()
@@ -69,7 +80,6 @@
     let listen = cfg.listen.clone();
     let grace = Duration::from_secs_f64(cfg.bounds.grace_s);
     let node = Node::new(cfg, store, log, rand::random());
-    let open = Rc::new(Cell::new(0));
     let callers = bind(listen.callers, "callers")?;
     let targets = bind(listen.targets, "targets")?;
     let ready = bind(listen.ready, "ready")?;
@@ -87,10 +97,10 @@
     let beats = Rc::new(Heartbeats { node: node.clone() });
     let readiness = Rc::new(Readiness { node: node.clone() });
     let metrics_page = Rc::new(Metrics { recorder, node: node.clone() });
-    actix_rt::spawn(http_server::serve(callers, proxy, open.clone()));
-    actix_rt::spawn(http_server::serve(targets, beats, Rc::default()));
-    actix_rt::spawn(http_server::serve(ready, readiness, Rc::default()));
-    actix_rt::spawn(http_server::serve(metrics, metrics_page, Rc::default()));
+    actix_rt::spawn(http_server::serve(callers, proxy));
+    actix_rt::spawn(http_server::serve(targets, beats));
+    actix_rt::spawn(http_server::serve(ready, readiness));
+    actix_rt::spawn(http_server::serve(metrics, metrics_page));
     actix_rt::spawn(accept_peers(peers, node.clone()));
     actix_rt::spawn(node.clone().follow_store());
     actix_rt::spawn(node.clone().send_statuses());
@@ -103,6 +113,7 @@
     tokio::select! {
         _ = term.recv() => {}
         _ = interrupt.recv() => {}
+        () = stdin_end.notified() => {}
     }
     stop(&node, grace).await;
     Ok(())
@@ -146,17 +157,18 @@
     let refuse = began + grace.saturating_sub(REFUSE_BEFORE);
     let end = began + grace.saturating_sub(END_BEFORE);
     sleep_until(announced).await;
+    let is_idle = || node.in_flight.get() == 0 && node.target.calls() == 0;
+    let mut idle_until = None;
     while Instant::now() < end {
-        if Instant::now() >= refuse {
-            node.refusing.set(true);
-        }
-        if node.in_flight.get() == 0 && node.target.calls() == 0 {
+        let now = Instant::now();
+        node.refusing.set(now >= refuse || idle_until.is_some() || is_idle());
+        if !is_idle() {
+            idle_until = None;
+        } else if now >= *idle_until.get_or_insert(now + LAST_REFUSALS) {
             break;
         }
         sleep(IDLE_CHECK).await;
     }
-    // Last answers may still be on their way out of this process.
-    sleep(IDLE_CHECK).await;
     let fields =
         [("cut_requests", node.in_flight.get().into()), ("cut_calls", node.target.calls().into())];
     node.log.line(node.clock.now(), Stream::Other, &codes::STOPPED, &fields);
--- a/crates/ibisroute/src/mesh/slot_queue.rs
+++ b/crates/ibisroute/src/mesh/slot_queue.rs
@@ -18,6 +18,9 @@
 pub struct QueueSettings {
     /// Service time that is assumed before the first answer.
     pub first_service: Millis,
+    /// Half-life of the service time that is told to others while no request ends. A target that was
+    /// slow once would otherwise never be tried again.
+    pub forget: Millis,
     /// Weight of a new observation in the average service time.
     pub estimate_weight: f64,
     /// Multiple of the average service time that a request must have left when it starts. Service
@@ -28,7 +31,8 @@
     pub aim_margin: f64,
     /// Every n-th start goes to the least urgent class that waits, so that no class starves.
     pub fair_turn: u32,
-    /// Share of its remaining time that a request without hope for its aim may wait.
+    /// Share of its remaining time that a request without hope for its aim may wait. A refusal after
+    /// that leaves the caller too little time for another try.
     pub late_wait_share: f64,
 }
 
@@ -36,6 +40,7 @@
     fn default() -> Self {
         Self {
             first_service: Millis(100),
+            forget: Millis(3_000),
             estimate_weight: 0.1,
             start_margin: 1.3,
             aim_margin: 1.2,
@@ -101,6 +106,13 @@
     pub failing: f32,
 }
 
+/// A request that waits.
+#[derive(Debug)]
+struct Waiting {
+    ticket: Ticket,
+    since: Millis,
+}
+
 /// The queue of one target.
 #[derive(Debug)]
 pub struct SlotQueue {
@@ -108,9 +120,11 @@
     slots: u32,
     leaving: bool,
     running: HashMap<u64, SmolStr>,
-    waiting: Vec<Ticket>,
+    waiting: Vec<Waiting>,
     estimates: BTreeMap<SmolStr, f64>,
     average_ms: f64,
+    /// When the last service time was observed; absent for a run without one.
+    observed: Option<Millis>,
     starts: u32,
 }
 
@@ -125,17 +139,23 @@
             waiting: Vec::new(),
             estimates: BTreeMap::new(),
             average_ms: cfg.first_service.0 as f64,
+            observed: None,
             starts: 0,
         }
     }
 
-    /// Counts for other nodes; the failing share is the caller's to fill in.
-    pub fn load(&self) -> Load {
+    /// Counts for other nodes; the failing share is the caller's to fill in. The service time is zero
+    /// while it is not known.
+    pub fn load(&self, now: Millis) -> Load {
+        let service_ms = self.observed.map_or(0.0, |at| {
+            let idle = if self.running.is_empty() { now.since(at).0 as f64 } else { 0.0 };
+            self.average_ms * (-idle / (self.cfg.forget.0 as f64).max(1.0)).exp2()
+        });
         Load {
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
             slots: self.slots,
-            service_ms: self.average_ms as f32,
+            service_ms: service_ms as f32,
             failing: 0.0,
         }
     }
@@ -161,7 +181,7 @@
             let back = Millis(wait.max(service) as u64);
             return vec![Action::Refuse(ticket.id, RefusalReason::Overloaded, back)];
         }
-        self.waiting.push(ticket);
+        self.waiting.push(Waiting { ticket, since: now });
         self.fill(now)
     }
 
@@ -174,13 +194,17 @@
             let estimate = self.estimates.entry(route).or_insert(took);
             *estimate += (took - *estimate) * weight;
             self.average_ms += (took - self.average_ms) * weight;
+            if self.observed.is_none() {
+                self.average_ms = took;
+            }
+            self.observed = Some(now);
         }
         self.fill(now)
     }
 
     /// The sender of a waiting request has gone.
     pub fn cancel(&mut self, id: u64) {
-        self.waiting.retain(|t| t.id != id);
+        self.waiting.retain(|w| w.ticket.id != id);
     }
 
     /// The target leaves: what waits is handed back, what runs ends.
@@ -188,7 +212,7 @@
         self.leaving = true;
         self.waiting
             .drain(..)
-            .map(|t| Action::Refuse(t.id, RefusalReason::Leaving, Millis(0)))
+            .map(|w| Action::Refuse(w.ticket.id, RefusalReason::Leaving, Millis(0)))
             .collect()
     }
 
@@ -196,11 +220,19 @@
     pub fn give_back(&mut self) -> Vec<Action> {
         self.waiting
             .drain(..)
-            .map(|t| Action::Refuse(t.id, RefusalReason::Unreachable, Millis(0)))
+            .map(|w| Action::Refuse(w.ticket.id, RefusalReason::Unreachable, Millis(0)))
             .collect()
     }
 
-    /// The target announced its slots, or a new run began.
+    /// A new run of the target began: nothing is known of its speed.
+    pub fn restart(&mut self, now: Millis, slots: u32) -> Vec<Action> {
+        self.estimates.clear();
+        self.average_ms = self.cfg.first_service.0 as f64;
+        self.observed = None;
+        self.reset(now, slots)
+    }
+
+    /// The target announced its slots.
     pub fn reset(&mut self, now: Millis, slots: u32) -> Vec<Action> {
         self.slots = slots.max(1);
         self.leaving = false;
@@ -222,8 +254,10 @@
     pub fn fill(&mut self, now: Millis) -> Vec<Action> {
         let mut actions = Vec::new();
         let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.retain(|ticket| {
-            let keep = now <= self.latest_start(ticket) || self.running.is_empty();
+        let free = self.running.len() < self.slots as usize;
+        waiting.retain(|waiting| {
+            let ticket = &waiting.ticket;
+            let keep = now <= self.latest_start(waiting) || (free && now < ticket.deadline);
             if !keep {
                 let back = Millis(self.average_ms as u64);
                 actions.push(Action::Refuse(ticket.id, RefusalReason::Overloaded, back));
@@ -233,7 +267,7 @@
         self.waiting = waiting;
         while self.running.len() < self.slots as usize {
             let Some(i) = self.next(now) else { break };
-            let ticket = self.waiting.swap_remove(i);
+            let ticket = self.waiting.swap_remove(i).ticket;
             self.starts = self.starts.wrapping_add(1);
             self.running.insert(ticket.id, ticket.route);
             actions.push(Action::Start(ticket.id));
@@ -243,12 +277,18 @@
 
     /// The point at which the next waiting request has to be refused.
     pub fn next_check(&self) -> Option<Millis> {
-        self.waiting.iter().map(|t| Millis(self.latest_start(t).0 + 1)).min()
+        self.waiting.iter().map(|w| Millis(self.latest_start(w).0 + 1)).min()
     }
 
-    fn latest_start(&self, ticket: &Ticket) -> Millis {
-        let service = self.service_ms(&ticket.route) * self.cfg.start_margin;
-        Millis(ticket.deadline.0.saturating_sub(service as u64))
+    /// Last point at which a start is of use: in time for the aim, or else within the share of its time
+    /// that a late request may wait, and always before the deadline is out of reach.
+    fn latest_start(&self, waiting: &Waiting) -> Millis {
+        let Waiting { ticket, since } = waiting;
+        let service = self.service_ms(&ticket.route);
+        let before = |end: Millis, margin: f64| end.0.saturating_sub((service * margin) as u64);
+        let patience = ticket.deadline.since(*since).0 as f64 * self.cfg.late_wait_share;
+        let useful = before(ticket.aim, self.cfg.aim_margin).max(since.0 + patience as u64);
+        Millis(useful.min(before(ticket.deadline, self.cfg.start_margin)))
     }
 
     /// Index of the ticket to start next: those that can still meet their aim first, by priority and
@@ -259,7 +299,7 @@
             let priority = i16::from(t.priority) * if fair { -1 } else { 1 };
             (self.is_late(now, t), priority, t.aim)
         };
-        (0..self.waiting.len()).min_by_key(|i| rank(&self.waiting[*i]))
+        (0..self.waiting.len()).min_by_key(|i| rank(&self.waiting[*i].ticket))
     }
 
     fn is_late(&self, now: Millis, ticket: &Ticket) -> bool {
@@ -277,6 +317,7 @@
         let ahead: f64 = self
             .waiting
             .iter()
+            .map(|w| &w.ticket)
             .filter(|t| (self.is_late(now, t), t.priority, t.aim) <= key)
             .map(|t| self.service_ms(&t.route))
             .sum();
--- a/crates/ibisroute/src/node/run.rs
+++ b/crates/ibisroute/src/node/run.rs
@@ -125,7 +125,8 @@
     actix_rt::System::new().block_on(serve(cx, listeners, work))
 }
 
-fn drain_at_stdin_end(drain: Arc<Notify>) -> eyre::Result<()> {
+/// Notifies when standard input ends.
+pub(crate) fn drain_at_stdin_end(drain: Arc<Notify>) -> eyre::Result<()> {
     let wait = move || {
         // An unreadable standard input counts as ended.
         let _ = std::io::copy(&mut std::io::stdin().lock(), &mut std::io::sink());
--- a/crates/ibisroute/tests/slot_queue.rs
+++ b/crates/ibisroute/tests/slot_queue.rs
@@ -35,7 +35,7 @@
         running += started(&queue.offer(Millis(0), ticket(id, 2, 10_000, 10_000))).len();
     }
     assert_eq!(running, 2);
-    assert_eq!(queue.load().waiting, 3);
+    assert_eq!(queue.load(Millis(0)).waiting, 3);
     assert_eq!(started(&queue.finish(Millis(50), 0, Some(Millis(50)))).len(), 1);
 }
 
@@ -62,6 +62,11 @@
     let check = queue.next_check().expect("a request waits");
     assert!(check < Millis(600), "{check}");
     assert_eq!(refused(&queue.fill(check)), [2]);
+    // One that has missed its aim is let go while its caller can still try elsewhere.
+    queue.offer(Millis(0), ticket(3, 2, 300, 1_200));
+    let check = queue.next_check().expect("a request waits");
+    assert!(check <= Millis(400), "{check}");
+    assert_eq!(refused(&queue.fill(check)), [3]);
 }
 
 /// Guards against urgent requests behind a crowd of less urgent ones.
@@ -109,6 +114,20 @@
     assert_eq!(queue.running(), 1);
 }
 
+/// Guards against a target that was slow once and is never tried again, and against a new run that
+/// inherits the speed of the last one.
+#[test]
+fn old_speed_is_forgotten() {
+    let mut queue = SlotQueue::new(QueueSettings::default(), 1);
+    assert_eq!(queue.load(Millis(0)).service_ms, 0.0);
+    queue.offer(Millis(0), ticket(1, 2, 9_000, 9_000));
+    queue.finish(Millis(2_000), 1, Some(Millis(2_000)));
+    assert_eq!(queue.load(Millis(2_000)).service_ms, 2_000.0);
+    assert!(queue.load(Millis(14_000)).service_ms < 130.0);
+    queue.restart(Millis(2_000), 1);
+    assert_eq!(queue.load(Millis(2_000)).service_ms, 0.0);
+}
+
 /// Plays arrivals at `load` times the capacity for a minute; returns the shares of reads and of orders
 /// that end within their aim, and the share of slot time in use.
 fn play_overload(load: f64, seed: u64) -> (f64, f64, f64) {
--- a/crates/ibisroute/tests/target_choice.rs
+++ b/crates/ibisroute/tests/target_choice.rs
@@ -95,3 +95,23 @@
     }
     assert!(slow <= 2, "{slow} of 12");
 }
+
+/// Guards against a target that joins and gets no request, because those that are known are near.
+#[test]
+fn joined_gets_work() {
+    let mut picker = picker();
+    let known = [candidate("a", true, load(1, 0, 120.0)), candidate("b", true, load(1, 0, 120.0))];
+    for c in &known {
+        picker.sent(&c.node);
+        picker.ended(&c.node);
+    }
+    let joined = candidate("joined", false, load(0, 0, 0.0));
+    let all = [known[0].clone(), known[1].clone(), joined];
+    assert_eq!(picker.choose(ask(0), &all), Some(node("joined")));
+    assert_ne!(picker.choose(ask(60_000), &all), Some(node("joined")));
+    picker.sent(&node("joined"));
+    picker.ended(&node("joined"));
+    assert_ne!(picker.choose(ask(0), &all), Some(node("joined")));
+    picker.restarted(&node("joined"));
+    assert_eq!(picker.choose(ask(0), &all), Some(node("joined")));
+}
--- a/crates/standins/src/harness/mod.rs
+++ b/crates/standins/src/harness/mod.rs
@@ -6,7 +6,7 @@
 
 mod catalogue;
 mod cluster;
-mod process;
+pub(crate) mod process;
 mod targets;
 
 pub use catalogue::apply_catalogue;
--- a/crates/standins/src/harness/process.rs
+++ b/crates/standins/src/harness/process.rs
@@ -81,10 +81,10 @@
 
 /// The last lines that a process printed.
 #[derive(Clone, Default)]
-pub(super) struct Log(Arc<Mutex<VecDeque<String>>>);
+pub(crate) struct Log(Arc<Mutex<VecDeque<String>>>);
 
 impl Log {
-    pub(super) fn push(&self, line: String) {
+    pub(crate) fn push(&self, line: String) {
         let mut lines = lock(&self.0);
         if lines.len() >= LOG_LINES {
             lines.pop_front();
@@ -92,7 +92,7 @@
         lines.push_back(line);
     }
 
-    pub(super) fn lines(&self) -> Vec<String> {
+    pub(crate) fn lines(&self) -> Vec<String> {
         lock(&self.0).iter().cloned().collect()
     }
 
@@ -111,19 +111,19 @@
 }
 
 /// A running child. It is killed when it is dropped, also by a panic.
-pub(super) struct Process {
+pub(crate) struct Process {
     child: KillOnDrop,
     /// What this process printed to standard output.
-    pub(super) stdout: Log,
+    pub(crate) stdout: Log,
     /// What this process printed to standard error.
-    pub(super) stderr: Log,
+    pub(crate) stderr: Log,
     /// When it was started.
-    pub(super) started: Instant,
+    pub(crate) started: Instant,
     followers: Vec<JoinHandle<()>>,
 }
 
 impl Process {
-    pub(super) fn start(program: &Path, args: &[&str]) -> eyre::Result<Self> {
+    pub(crate) fn start(program: &Path, args: &[&str]) -> eyre::Result<Self> {
         let mut child = Command::new(program)
             .args(args)
             // The pipe ends with this process, also when it is killed.
@@ -141,34 +141,34 @@
 
     /// Waits for the last output of a process that has ended. A pipe that something else keeps open
     /// ends the wait after a bound.
-    pub(super) fn wait_output(&self) {
+    pub(crate) fn wait_output(&self) {
         let _ = wait::until_true("the last output", OUTPUT_BOUND, || {
             self.followers.iter().all(JoinHandle::is_finished)
         });
     }
 
-    pub(super) fn id(&self) -> u32 {
+    pub(crate) fn id(&self) -> u32 {
         self.child.0.id()
     }
 
     /// The exit status when it has ended.
-    pub(super) fn ended(&mut self) -> Option<ExitStatus> {
+    pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
         self.child.0.try_wait().ok().flatten()
     }
 
     /// Sends SIGKILL without waiting.
-    pub(super) fn kill(&mut self) {
+    pub(crate) fn kill(&mut self) {
         let _ = self.child.0.kill();
     }
 
     /// Waits for the end.
-    pub(super) fn wait(&mut self, bound: Duration) -> eyre::Result<ExitStatus> {
+    pub(crate) fn wait(&mut self, bound: Duration) -> eyre::Result<ExitStatus> {
         wait_exit(&mut self.child.0, bound)
     }
 
     /// Sends a signal, for example `STOP`. The `kill` program serves because the workspace forbids
     /// unsafe code.
-    pub(super) fn signal(&self, signal: &str) -> eyre::Result<()> {
+    pub(crate) fn signal(&self, signal: &str) -> eyre::Result<()> {
         let status = Command::new("kill")
             .args([format!("-{signal}"), self.id().to_string()])
             .status()
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod harness;
 pub mod http;
 pub mod measure;
+pub mod mesh;
 pub mod platform;
 pub mod programs;
 pub mod relay;
--- /dev/null
+++ b/crates/standins/src/mesh/store.rs
@@ -0,0 +1,259 @@
+//! The store of rows: transactions under conditions, reads, and a feed of changes.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::server::HttpThread;
+use crate::server::cut;
+use crate::server::lock;
+
+/// How often a feed that waits looks for changes.
+const FEED_POLL: Duration = Duration::from_millis(10);
+
+/// Connections that the store accepts.
+const MAX_CONNECTIONS: usize = 2_000;
+
+/// What goes wrong at the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreFaults {
+    /// Every call gets 503.
+    pub down: bool,
+    /// Writes are made, and their connections closed without an answer.
+    pub lose_answers: bool,
+}
+
+type Key = (String, String);
+
+#[derive(Default)]
+struct State {
+    rows: BTreeMap<Key, (String, u64)>,
+    changes: Vec<(u64, Key)>,
+    version: u64,
+    /// Changes up to this version are forgotten.
+    forgotten: u64,
+    faults: StoreFaults,
+    writes: u64,
+    reads: u64,
+}
+
+impl State {
+    fn put(&mut self, key: Key, value: String) {
+        self.version += 1;
+        self.rows.insert(key.clone(), (value, self.version));
+        self.changes.push((self.version, key));
+    }
+
+    fn row(&self, key: &Key) -> Option<Value> {
+        let (value, version) = self.rows.get(key)?;
+        Some(json!({"table": key.0, "part": "", "key": key.1, "value": value,
+            "resource_version": version}))
+    }
+}
+
+#[derive(Deserialize)]
+struct RowKey {
+    table: String,
+    key: String,
+    #[serde(default)]
+    value: String,
+    #[serde(default)]
+    resource_version: u64,
+}
+
+#[derive(Deserialize)]
+struct Tx {
+    #[serde(default)]
+    expect: Vec<RowKey>,
+    #[serde(default)]
+    puts: Vec<RowKey>,
+}
+
+#[derive(Deserialize)]
+struct Query {
+    table: String,
+    #[serde(default)]
+    from: String,
+    #[serde(default)]
+    after: u64,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+/// A running store. Dropping it stops it.
+pub struct StoreStandin {
+    state: Arc<Mutex<State>>,
+    http: HttpThread,
+}
+
+impl StoreStandin {
+    /// Starts a store on a free port of the loopback address.
+    pub fn start() -> io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let state: Arc<Mutex<State>> = Arc::default();
+        let data = web::Data::from(state.clone());
+        let http = HttpThread::start(listener, MAX_CONNECTIONS, move |cfg| {
+            cfg.app_data(data.clone())
+                .route("/-/rows-tx", web::post().to(transact))
+                .route("/-/rows-get", web::get().to(read))
+                .route("/-/rows-feed", web::get().to(feed));
+        })?;
+        Ok(Self { state, http })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.http.addr()
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        lock(&self.state).faults = faults;
+    }
+
+    /// Writes a row as the operator does; the value is text.
+    pub fn put(&self, table: &str, key: &str, value: &str) {
+        lock(&self.state).put((table.to_string(), key.to_string()), encode(value.as_bytes()));
+    }
+
+    /// The value of a row as text.
+    pub fn text(&self, table: &str, key: &str) -> Option<String> {
+        let state = lock(&self.state);
+        let (value, _) = state.rows.get(&(table.to_string(), key.to_string()))?;
+        String::from_utf8(decode(value)?).ok()
+    }
+
+    /// Forgets the history; feeds have to read again.
+    pub fn forget_history(&self) {
+        let mut state = lock(&self.state);
+        state.forgotten = state.version;
+        state.changes.clear();
+    }
+
+    /// Writing and reading calls so far.
+    pub fn calls(&self) -> (u64, u64) {
+        let state = lock(&self.state);
+        (state.writes, state.reads)
+    }
+}
+
+async fn transact(
+    req: HttpRequest,
+    state: web::Data<Mutex<State>>,
+    body: web::Bytes,
+) -> HttpResponse {
+    let Ok(tx) = serde_json::from_slice::<Tx>(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let mut state = lock(&state);
+    state.writes += 1;
+    if state.faults.down {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    if tx.puts.iter().any(|p| p.table == "op" || p.table == "servers") {
+        return HttpResponse::Forbidden().finish();
+    }
+    let key = |row: &RowKey| (row.table.clone(), row.key.clone());
+    let holds = tx.expect.iter().all(|row| {
+        state.rows.get(&key(row)).map_or(0, |(_, version)| *version) == row.resource_version
+    });
+    if !holds {
+        let rows: Vec<Value> = tx.expect.iter().filter_map(|row| state.row(&key(row))).collect();
+        let version = state.version;
+        return HttpResponse::PreconditionFailed()
+            .json(json!({"rows": rows, "resource_version": version, "now_s": 1.0}));
+    }
+    for put in &tx.puts {
+        state.put(key(put), put.value.clone());
+    }
+    if state.faults.lose_answers {
+        cut(&req);
+    }
+    HttpResponse::Ok().json(json!({"resource_version": state.version, "now_s": 1.0}))
+}
+
+async fn read(state: web::Data<Mutex<State>>, query: web::Query<Query>) -> HttpResponse {
+    let mut state = lock(&state);
+    state.reads += 1;
+    if state.faults.down {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    let rows: Vec<Value> = state
+        .rows
+        .keys()
+        .filter(|(table, key)| *table == query.table && *key >= query.from)
+        .filter_map(|key| state.row(key))
+        .collect();
+    HttpResponse::Ok().json(json!({"rows": rows, "has_more": false,
+        "resource_version": state.version, "now_s": 1.0}))
+}
+
+async fn feed(state: web::Data<Mutex<State>>, query: web::Query<Query>) -> HttpResponse {
+    lock(&state).reads += 1;
+    let until = Instant::now() + Duration::from_millis(query.wait_ms);
+    loop {
+        {
+            let state = lock(&state);
+            if state.faults.down {
+                return HttpResponse::ServiceUnavailable().finish();
+            }
+            if query.after < state.forgotten {
+                return HttpResponse::Gone().finish();
+            }
+            let mut rows = Vec::new();
+            for (version, key) in state.changes.iter().filter(|(v, _)| *v > query.after) {
+                // Only the newest state of a row is told.
+                if key.0 == query.table && state.rows.get(key).is_some_and(|(_, v)| v == version) {
+                    rows.extend(state.row(key));
+                }
+            }
+            if !rows.is_empty() || Instant::now() >= until {
+                return HttpResponse::Ok().json(json!({"rows": rows,
+                    "resource_version": state.version, "now_s": 1.0}));
+            }
+        }
+        actix_rt::time::sleep(FEED_POLL).await;
+    }
+}
+
+const ALPHABET: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+/// Base64 with padding, written apart from the system's library so that both cannot share a mistake.
+fn encode(bytes: &[u8]) -> String {
+    let mut text = String::new();
+    for group in bytes.chunks(3) {
+        let bits =
+            group.iter().fold(0u32, |bits, b| bits << 8 | u32::from(*b)) << (8 * (3 - group.len()));
+        for i in 0..4 {
+            let digit = ALPHABET[(bits >> (18 - 6 * i) & 63) as usize];
+            text.push(if i <= group.len() { char::from(digit) } else { '=' });
+        }
+    }
+    text
+}
+
+fn decode(text: &str) -> Option<Vec<u8>> {
+    let mut bytes = Vec::new();
+    for group in text.as_bytes().chunks(4) {
+        let digits: Vec<u32> = group
+            .iter()
+            .filter(|c| **c != b'=')
+            .map(|c| ALPHABET.iter().position(|a| a == c).map(|p| p as u32))
+            .collect::<Option<_>>()?;
+        let bits = digits.iter().fold(0, |bits, d| bits << 6 | d) << (6 * (4 - digits.len()));
+        bytes.extend_from_slice(&bits.to_be_bytes()[1..digits.len()]);
+    }
+    Some(bytes)
+}
