--- a/crates/ibisroute/src/mesh/picker.rs
+++ b/crates/ibisroute/src/mesh/picker.rs
@@ -120,7 +120,7 @@
             picked.sort_by_key(|i| !candidates[*i].near);
             let near = picked.iter().take_while(|i| candidates[**i].near).count();
             let kept = near.min(self.cfg.compared / 2);
-            let far: Vec<usize> = picked[near..].iter().copied().collect();
+            let far = picked[near..].to_vec();
             picked.truncate(kept);
             picked.extend(far.into_iter().take(self.cfg.compared - kept));
         }
--- a/crates/ibisroute/src/mesh/slot_queue.rs
+++ b/crates/ibisroute/src/mesh/slot_queue.rs
@@ -294,7 +294,7 @@
     /// Index of the ticket to start next: those that can still meet their aim first, by priority and
     /// then by aim; every n-th start goes to the least urgent class.
     fn next(&self, now: Millis) -> Option<usize> {
-        let fair = self.cfg.fair_turn > 0 && self.starts % self.cfg.fair_turn == 0;
+        let fair = self.cfg.fair_turn > 0 && self.starts.is_multiple_of(self.cfg.fair_turn);
         let rank = |t: &Ticket| {
             let priority = i16::from(t.priority) * if fair { -1 } else { 1 };
             (self.is_late(now, t), priority, t.aim)
