Ask for long bodies, read long rows in the store, keep buffers short

Buffers are given back, the node beside a target asks for bodies over 16 KB, changes over 16 KB are read by everybody in the store, and a starting node takes the operator's rows from its peers.

--- a/crates/ibisroute/src/mesh/byte_delta.rs
+++ b/crates/ibisroute/src/mesh/byte_delta.rs
@@ -55,6 +55,12 @@
         Self { steps, digest: Digest::of(text) }
     }
 
+    /// Bytes that the delta takes on the wire, about.
+    pub fn bytes(&self) -> usize {
+        let step = |s: &Step| if let Step::Insert(bytes) = s { bytes.len() } else { 8 };
+        self.steps.iter().map(step).sum()
+    }
+
     /// Makes the text; `None` when the base is another one.
     pub fn apply(&self, base: &[u8]) -> Option<Vec<u8>> {
         let mut text = Vec::with_capacity(base.len());
--- a/crates/ibisroute/src/mesh/facts.rs
+++ b/crates/ibisroute/src/mesh/facts.rs
@@ -93,6 +93,16 @@
     Delta(RowVersion, ByteDelta),
 }
 
+impl FactValue {
+    /// Bytes that the value takes on the wire, about.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::Whole(value) => value.len(),
+            Self::Delta(_, delta) => delta.bytes(),
+        }
+    }
+}
+
 /// What a row changed.
 #[derive(Clone, Debug)]
 pub enum Learned {
--- a/crates/ibisroute/src/mesh/frames.rs
+++ b/crates/ibisroute/src/mesh/frames.rs
@@ -142,9 +142,9 @@
 /// A message between nodes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
-    /// First frame of the node that connected.
-    Hello(NodeCard),
-    /// First frame of the node that accepted, with the nodes that it knows.
+    /// First frame of the node that connected, with the number of nodes that it knows.
+    Hello(NodeCard, u32),
+    /// First frame of the node that accepted, with the nodes that it knows if these are more.
     Welcome(NodeCard, Vec<NodeCard>),
     /// State of the sender.
     Status(Box<Status>),
@@ -158,7 +158,11 @@
         newest: RowVersion,
         /// Version of the configuration's row.
         config: RowVersion,
+        /// Longest answer. Whoever reaches the store reads long rows there.
+        most_bytes: u32,
     },
+    /// The rows asked for are longer than the answer may be.
+    FactsTooLong,
     /// A call with a short body, or the first frame of a call with a long one.
     Call {
         /// Identity on the connection.
@@ -170,6 +174,11 @@
         /// Length of the whole body.
         body_bytes: u64,
     },
+    /// Asks for the long body of a call.
+    Grant {
+        /// Identity of the call.
+        id: u64,
+    },
     /// A piece of a long body, of a call or an answer.
     Piece {
         /// Identity of the call.
--- a/crates/ibisroute/src/mesh/http1.rs
+++ b/crates/ibisroute/src/mesh/http1.rs
@@ -23,6 +23,12 @@
 /// Most headers of a head. A limit on their bytes holds besides.
 const MAX_HEADERS: usize = 128;
 
+/// Bytes that are reserved at once for a body of known length.
+const RESERVED_BYTES: u64 = 2 * 1024 * 1024;
+
+/// Length up to which a body usually arrives with its head.
+const SHORT_BYTES: usize = 8 * 1024;
+
 /// Longest line of a chunk's size with its extensions.
 const MAX_CHUNK_LINE: usize = 256;
 
@@ -267,7 +273,11 @@
             Framing::Chunked => BodyState::ChunkSize,
             Framing::Close => BodyState::UntilClose,
         };
-        Ok(Self { state, limit, body: BytesMut::new() })
+        // Growing a long body step by step would copy it, and take twice its memory.
+        let known = if let Framing::Length(n) = framing { n.min(RESERVED_BYTES) } else { 0 };
+        let long = known as usize > SHORT_BYTES;
+        let body = BytesMut::with_capacity(if long { known as usize } else { 0 });
+        Ok(Self { state, limit, body })
     }
 
     /// Bytes collected so far.
@@ -360,7 +370,7 @@
         if (self.body.len() + n) as u64 > self.limit {
             return Err(HttpError::BodyTooLong);
         }
-        if self.body.is_empty() && n == buf.len() {
+        if self.body.capacity() == 0 && n == buf.len() {
             // The usual small body arrives at once and is not copied.
             self.body = buf.split_to(n);
         } else {
--- a/crates/ibisroute/src/mesh/http_server.rs
+++ b/crates/ibisroute/src/mesh/http_server.rs
@@ -27,7 +27,7 @@
 const BUFFER_BYTES: usize = 2 * 1024;
 
 /// Largest read of a long body at a time.
-const READ_BYTES: usize = 64 * 1024;
+const READ_BYTES: usize = 16 * 1024;
 
 /// Pause after a failed accept, for example without free descriptors; ending connections make room.
 const ACCEPT_PAUSE: Millis = Millis(20);
--- a/crates/ibisroute/src/mesh/link.rs
+++ b/crates/ibisroute/src/mesh/link.rs
@@ -12,6 +12,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -33,7 +34,7 @@
 const BUFFER_BYTES: usize = 2 * 1024;
 
 /// Read size while a long body arrives.
-const LONG_READ_BYTES: usize = 64 * 1024;
+const LONG_READ_BYTES: usize = 16 * 1024;
 
 /// Longest body that a peer may announce; the limit on callers is checked where they are served.
 const MAX_BODY_BYTES: u64 = 256 * 1024 * 1024;
@@ -43,6 +44,13 @@
     /// A frame arrived from a peer. `reply` leads back to it.
     fn frame(&self, from: &NodeId, frame: Frame, reply: &Outbox);
 
+    /// Refuses a call before its long body is sent, or waits until the body may come. The body may
+    /// arrive as long as the permit lives.
+    fn admit_body(
+        &self,
+        head: &ForwardHead,
+    ) -> impl Future<Output = Result<OwnedSemaphorePermit, (Outcome, Load)>> + 'static;
+
     /// A call arrived; the future is dropped when its caller leaves or the connection ends.
     fn call(&self, head: ForwardHead, body: Bytes) -> impl Future<Output = (Outcome, Load)>;
 }
@@ -59,6 +67,8 @@
     /// Frames to the peer.
     pub outbox: Rc<Outbox>,
     waiting: RefCell<Waiting>,
+    /// Long bodies that the peer has not asked for yet.
+    held: RefCell<HashMap<u64, Bytes>>,
     last_id: Cell<u64>,
     heard: Cell<Instant>,
 }
@@ -71,6 +81,7 @@
 
 impl Drop for CallGuard<'_> {
     fn drop(&mut self) {
+        self.link.held.borrow_mut().remove(&self.id);
         if self.link.waiting.borrow_mut().remove(&self.id).is_some() {
             self.link.outbox.drop_long(self.id);
             self.link.outbox.send(&Frame::Cancel { id: self.id });
@@ -83,13 +94,14 @@
     pub async fn open(
         peer: &NodeCard,
         own: &NodeCard,
+        known: usize,
         limit: Millis,
     ) -> io::Result<(Rc<Self>, LinkReader)> {
         let opening = async {
             let stream = socket::connect(peer.address, limit).await?;
             let (read, write) = stream.into_split();
             let outbox = Rc::new(Outbox::default());
-            outbox.send(&Frame::Hello(own.clone()));
+            outbox.send(&Frame::Hello(own.clone(), known as u32));
             let writer = outbox.clone();
             actix_rt::spawn(async move {
                 // The reader sees the end of the connection too.
@@ -111,6 +123,7 @@
             known,
             outbox,
             waiting: RefCell::default(),
+            held: RefCell::default(),
             last_id: Cell::new(0),
             heard: Cell::new(Instant::now()),
         });
@@ -150,6 +163,11 @@
                         self.finish(id, outcome, Some(load));
                     }
                 }
+                Frame::Grant { id } => {
+                    if let Some(body) = self.held.borrow_mut().remove(&id) {
+                        self.outbox.send_long(id, body);
+                    }
+                }
                 frame => events.frame(&self.card.node, frame, &self.outbox),
             }
         }
@@ -184,8 +202,9 @@
         if body.len() <= PIECE_BYTES {
             self.outbox.send(&Frame::Call { id, head, body, body_bytes });
         } else {
+            // The peer asks for a long body when it can take it, or refuses the call without it.
+            self.held.borrow_mut().insert(id, body);
             self.outbox.send(&Frame::Call { id, head, body: Bytes::new(), body_bytes });
-            self.outbox.send_long(id, body);
         }
         rx.await.unwrap_or((Outcome::Failed(Failure::LinkLost), None))
     }
@@ -214,6 +233,10 @@
                 Ok(None) => {}
                 Err(_) => return Err(io::ErrorKind::InvalidData.into()),
             }
+            if self.buf.is_empty() && self.buf.capacity() > 2 * BUFFER_BYTES {
+                // A node has two connections for each peer; idle ones do not keep long buffers.
+                self.buf = BytesMut::new();
+            }
             let long = self.buf.len() > BUFFER_BYTES;
             self.buf.reserve(if long { LONG_READ_BYTES } else { BUFFER_BYTES });
             if self.stream.read_buf(&mut self.buf).await? == 0 {
@@ -237,13 +260,25 @@
     body: BytesMut,
     body_bytes: u64,
     began: Instant,
+    /// Permits the body to come; held until it is whole.
+    permit: Rc<RefCell<Option<OwnedSemaphorePermit>>>,
+    /// Asks for the body, or refuses the call.
+    asking: AbortHandle,
+}
+
+impl Drop for Arriving {
+    fn drop(&mut self) {
+        self.asking.abort();
+        self.permit.borrow_mut().take();
+    }
 }
 
 impl Arriving {
     /// The head with the time that is left now that the body is whole.
-    fn into_call(self) -> (ForwardHead, Bytes) {
+    fn into_call(mut self) -> (ForwardHead, Bytes) {
         let passed = self.began.elapsed().as_millis() as u32;
-        let Self { mut head, body, .. } = self;
+        let body = std::mem::take(&mut self.body);
+        let mut head = self.head.clone();
         head.aim_ms = head.aim_ms.saturating_sub(passed);
         head.deadline_ms = head.deadline_ms.saturating_sub(passed);
         (head, body.freeze())
@@ -264,10 +299,15 @@
     let outbox = Rc::new(Outbox::default());
     let mut reader = LinkReader { stream: read, buf: BytesMut::new() };
     let hello = timeout(silence.to_duration(), reader.next()).await;
-    let Ok(Ok(Frame::Hello(peer))) = hello else {
+    let Ok(Ok(Frame::Hello(peer, knows))) = hello else {
         return Err(io::ErrorKind::InvalidData.into());
     };
-    outbox.send(&Frame::Welcome(own, known(&peer)));
+    let mut cards = known(&peer);
+    if cards.len() <= knows as usize {
+        // Rows of the store have told the peer already.
+        cards.clear();
+    }
+    outbox.send(&Frame::Welcome(own, cards));
     let writer = outbox.clone();
     actix_rt::spawn(async move {
         // The reader sees the end of the connection too.
@@ -300,12 +340,28 @@
                 start(id, *head, body);
             }
             Frame::Call { id, head, body_bytes, .. } => {
-                let body = BytesMut::with_capacity(body_bytes.min(1 << 20) as usize);
-                let began = Instant::now();
-                arriving.insert(id, Arriving { head: *head, body, body_bytes, began });
+                let permit: Rc<RefCell<Option<OwnedSemaphorePermit>>> = Rc::default();
+                let (kept, outbox) = (permit.clone(), outbox.clone());
+                let admitting = events.admit_body(&head);
+                let asking = actix_rt::spawn(async move {
+                    match admitting.await {
+                        Ok(permit) => {
+                            *kept.borrow_mut() = Some(permit);
+                            outbox.send(&Frame::Grant { id });
+                        }
+                        Err((outcome, load)) => send_reply(&outbox, id, outcome, load),
+                    }
+                });
+                let asking = asking.abort_handle();
+                let (body, began) = (BytesMut::new(), Instant::now());
+                let head = *head;
+                arriving.insert(id, Arriving { head, body, body_bytes, began, permit, asking });
             }
             Frame::Piece { id, bytes } => {
                 let Some(part) = arriving.get_mut(&id) else { continue };
+                if part.body.is_empty() {
+                    part.body.reserve(part.body_bytes.min(1 << 20) as usize);
+                }
                 part.body.extend_from_slice(&bytes);
                 if part.body.len() as u64 >= part.body_bytes
                     && let Some(whole) = arriving.remove(&id)
--- a/crates/ibisroute/src/mesh/local_target.rs
+++ b/crates/ibisroute/src/mesh/local_target.rs
@@ -250,6 +250,26 @@
         }
     }
 
+    /// Refuses a call from its head alone, before its long body is sent.
+    pub fn refuse_early(&self, head: &ForwardHead) -> Option<Outcome> {
+        let now = self.clock.now();
+        let inner = self.inner.borrow();
+        if inner.instance.record().is_none_or(|r| r.id != head.instance) {
+            return Some(refused(RefusalReason::Leaving, Millis(0)));
+        }
+        if inner.health.is_down(now, &self.health) {
+            return Some(refused(RefusalReason::Unreachable, Millis(0)));
+        }
+        let (reason, back) = inner.queue.refusal(now, &ticket(0, now, head))?;
+        Some(refused(reason, back))
+    }
+
+    /// The refusal of a call that found no room.
+    pub fn overloaded(&self) -> Outcome {
+        let service = self.inner.borrow().queue.service_ms("");
+        refused(RefusalReason::Overloaded, Millis(service as u64))
+    }
+
     /// Serves a call: waits for a slot, sends it to the target and returns the whole answer. A refusal
     /// is proof that the call did not run.
     pub async fn call(&self, head: ForwardHead, body: Bytes) -> (Outcome, Load) {
@@ -344,15 +364,8 @@
             }
             inner.last_id += 1;
             let id = inner.last_id;
-            let ticket = Ticket {
-                id,
-                route: head.route.clone(),
-                priority: head.priority,
-                aim: Millis(now.0 + u64::from(head.aim_ms)),
-                deadline: Millis(now.0 + u64::from(head.deadline_ms)),
-            };
             inner.waiting.insert(id, tx);
-            (id, inner.queue.offer(now, ticket))
+            (id, inner.queue.offer(now, ticket(id, now, head)))
         };
         self.calls.set(self.calls.get() + 1);
         let place = Place {
@@ -439,6 +452,16 @@
     }
 }
 
+fn ticket(id: u64, now: Millis, head: &ForwardHead) -> Ticket {
+    Ticket {
+        id,
+        route: head.route.clone(),
+        priority: head.priority,
+        aim: Millis(now.0 + u64::from(head.aim_ms)),
+        deadline: Millis(now.0 + u64::from(head.deadline_ms)),
+    }
+}
+
 fn refused(reason: RefusalReason, back: Millis) -> Outcome {
     Outcome::Refused { reason, retry_after_ms: u32::try_from(back.0).unwrap_or(u32::MAX) }
 }
--- a/crates/ibisroute/src/mesh/mesh_settings.rs
+++ b/crates/ibisroute/src/mesh/mesh_settings.rs
@@ -41,6 +41,12 @@
     /// Memory that the process may use.
     #[serde(default)]
     pub memory: MemorySettings,
+    /// The host's network.
+    #[serde(default)]
+    pub link: LinkSettings,
+    /// Whether the whole system starts for the first time.
+    #[serde(default)]
+    pub first_start: bool,
     /// Connections to other nodes.
     #[serde(default)]
     pub peers: MeshPeerSettings,
@@ -129,6 +135,30 @@
     }
 }
 
+/// Section `link`.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LinkSettings {
+    /// Rate of the host's link, in megabits a second.
+    pub mbps: f64,
+    /// Megabits a second for each long body that may arrive at a time. Bodies beyond that would only
+    /// delay each other, and the short calls between them.
+    pub mbps_per_body: f64,
+}
+
+impl Default for LinkSettings {
+    fn default() -> Self {
+        Self { mbps: 1_000.0, mbps_per_body: 30.0 }
+    }
+}
+
+impl LinkSettings {
+    /// Long bodies that may arrive at a time.
+    pub fn bodies(&self) -> usize {
+        ((self.mbps / self.mbps_per_body) as usize).clamp(1, 64)
+    }
+}
+
 /// Section `peers`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -213,6 +243,8 @@
             (self.bounds.retry_window_s, "bounds.retry_window_s"),
             (self.bounds.grace_s, "bounds.grace_s"),
             (self.memory.bodies_share, "memory.bodies_share"),
+            (self.link.mbps, "link.mbps"),
+            (self.link.mbps_per_body, "link.mbps_per_body"),
             (self.queue.estimate_weight, "queue.estimate_weight"),
         ];
         for (value, path) in positive {
--- a/crates/ibisroute/src/mesh/node.rs
+++ b/crates/ibisroute/src/mesh/node.rs
@@ -15,7 +15,10 @@
 use serde_json::Value;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use super::decision_log::DecisionLog;
 use super::decision_log::Stream;
@@ -54,6 +57,10 @@
 use crate::types::Millis;
 use crate::types::ServiceName;
 
+/// Longest rows that are pushed to a peer which reaches the store. The store's link is far wider than
+/// that of a host.
+const MOST_PUSHED_BYTES: u32 = 16 * 1024;
+
 /// Weight of a new observation in the usual time to an answer.
 const ANSWER_WEIGHT: f64 = 0.1;
 
@@ -125,6 +132,10 @@
     pub in_flight: Cell<usize>,
     /// Bytes of their bodies.
     pub held_bytes: Cell<usize>,
+    /// Long bodies that may arrive from peers at a time.
+    bodies: Arc<Semaphore>,
+    /// Wakes the reader of the store: rows there are newer, and too long to come from a peer.
+    pub read_again: Notify,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     budget: Cell<BudgetSettings>,
     patience: RefCell<HashMap<SmolStr, f64>>,
@@ -172,6 +183,8 @@
             refusing: Cell::new(false),
             in_flight: Cell::new(0),
             held_bytes: Cell::new(0),
+            bodies: Arc::new(Semaphore::new(cfg.link.bodies())),
+            read_again: Notify::new(),
             budgets: RefCell::default(),
             budget: Cell::new(cfg.bounds.budget()),
             patience: RefCell::default(),
@@ -371,6 +384,10 @@
                     bytes
                 }
             };
+            // A long change would fill the link of this host; the status tells peers to read it.
+            if bytes.len() > MOST_PUSHED_BYTES as usize && status.store_reached {
+                continue;
+            }
             link.outbox.send_encoded(bytes);
             sent.push(name.clone());
         }
@@ -387,7 +404,9 @@
         }
         self.asked.set(Some(now));
         let facts = self.facts.borrow();
-        reply.send(&Frame::WantFacts { newest: facts.newest(), config: facts.config_row() });
+        let most_bytes = if self.store_reached.get() { MOST_PUSHED_BYTES } else { u32::MAX };
+        let (newest, config) = (facts.newest(), facts.config_row());
+        reply.send(&Frame::WantFacts { newest, config, most_bytes });
     }
 
     fn hear_facts(self: &Rc<Self>, from: &str, rows: Vec<FactRow>, reply: &Outbox) {
@@ -399,7 +418,8 @@
                 None => {
                     let newest = self.facts.borrow().newest();
                     let config = RowVersion(0);
-                    reply.send(&Frame::WantFacts { newest, config });
+                    let most_bytes = u32::MAX;
+                    reply.send(&Frame::WantFacts { newest, config, most_bytes });
                 }
             }
         }
@@ -436,17 +456,41 @@
                 }
             }
             Frame::Facts(rows) => self.hear_facts(from.as_str(), rows, reply),
-            Frame::WantFacts { newest, config } => {
+            Frame::WantFacts { newest, config, most_bytes } => {
                 let rows = self.facts.borrow().since(newest, config);
-                if !rows.is_empty() {
+                let bytes: usize = rows.iter().map(|r| r.value.bytes()).sum();
+                if bytes > most_bytes as usize {
+                    reply.send(&Frame::FactsTooLong);
+                } else if !rows.is_empty() {
                     reply.send(&Frame::Facts(rows));
                 }
             }
+            Frame::FactsTooLong => self.read_again.notify_one(),
             // Greetings and calls are handled by the connection; the rest carries no news.
             _ => {}
         }
     }
 
+    fn admit_body(
+        &self,
+        head: &ForwardHead,
+    ) -> impl Future<Output = Result<OwnedSemaphorePermit, (Outcome, Load)>> + 'static {
+        let refusal = self.target.refuse_early(head);
+        let (bodies, target) = (self.bodies.clone(), self.target.clone());
+        let patience = f64::from(head.deadline_ms) * self.cfg.queue.late_wait_share;
+        async move {
+            if let Some(outcome) = refusal {
+                return Err((outcome, target.load()));
+            }
+            let limit = Millis(patience as u64).to_duration();
+            match timeout(limit, bodies.acquire_owned()).await {
+                Ok(Ok(permit)) => Ok(permit),
+                // The wait was too long; the semaphore is never closed.
+                _ => Err((target.overloaded(), target.load())),
+            }
+        }
+    }
+
     async fn call(&self, head: ForwardHead, body: Bytes) -> (Outcome, Load) {
         self.target.call(head, body).await
     }
--- a/crates/ibisroute/src/mesh/peers.rs
+++ b/crates/ibisroute/src/mesh/peers.rs
@@ -164,7 +164,8 @@
         let mut pause = cfg.retry_first;
         let mut failing_since = self.clock.now();
         loop {
-            match Link::open(&card, &self.card, cfg.connect).await {
+            let known = self.peers.map.borrow().len();
+            match Link::open(&card, &self.card, known, cfg.connect).await {
                 Ok((link, _)) if link.card.node != card.node => {
                     link.outbox.close();
                     self.peers.map.borrow_mut().remove(&card.node);
--- a/crates/ibisroute/src/mesh/slot_queue.rs
+++ b/crates/ibisroute/src/mesh/slot_queue.rs
@@ -165,21 +165,26 @@
         self.estimates.get(route).copied().unwrap_or(self.average_ms)
     }
 
-    /// Offers a request.
-    pub fn offer(&mut self, now: Millis, ticket: Ticket) -> Vec<Action> {
+    /// Why a request would be refused now, and after which time it may come again.
+    pub fn refusal(&self, now: Millis, ticket: &Ticket) -> Option<(RefusalReason, Millis)> {
         if self.leaving {
-            return vec![Action::Refuse(ticket.id, RefusalReason::Leaving, Millis(0))];
+            return Some((RefusalReason::Leaving, Millis(0)));
         }
-        let wait = self.wait_ms(now, &ticket);
+        let wait = self.wait_ms(now, ticket);
         let service = self.service_ms(&ticket.route);
         let left = ticket.deadline.since(now).0 as f64;
         let to_aim = ticket.aim.since(now).0 as f64;
         let in_time = wait + service * self.cfg.aim_margin <= to_aim;
         let hopeless = wait + service * self.cfg.start_margin > left && wait > 0.0;
         let too_late = !in_time && wait > left * self.cfg.late_wait_share;
-        if left <= 0.0 || hopeless || too_late {
-            let back = Millis(wait.max(service) as u64);
-            return vec![Action::Refuse(ticket.id, RefusalReason::Overloaded, back)];
+        let refused = left <= 0.0 || hopeless || too_late;
+        refused.then(|| (RefusalReason::Overloaded, Millis(wait.max(service) as u64)))
+    }
+
+    /// Offers a request.
+    pub fn offer(&mut self, now: Millis, ticket: Ticket) -> Vec<Action> {
+        if let Some((reason, back)) = self.refusal(now, &ticket) {
+            return vec![Action::Refuse(ticket.id, reason, back)];
         }
         self.waiting.push(Waiting { ticket, since: now });
         self.fill(now)
--- a/crates/ibisroute/src/mesh/store_watch.rs
+++ b/crates/ibisroute/src/mesh/store_watch.rs
@@ -32,6 +32,15 @@
 /// How often a node that does not watch looks whether it has to.
 const ROLE_CHECK: Millis = Millis(150);
 
+/// Time that a starting node gives its peers to tell it the operator's rows.
+const PEERS_FIRST: Millis = Millis(400);
+
+/// How often a starting node looks whether they did.
+const PEERS_CHECK: Millis = Millis(20);
+
+/// Mean pause before a long row is read that all nodes were told of.
+const READ_SPREAD: Millis = Millis(60);
+
 /// Pause between reads after the history was lost; such reads may lie seconds behind.
 const REREAD_PAUSE: Millis = Millis(200);
 
@@ -53,11 +62,27 @@
         }
         pause = RETRY_FIRST;
         loop {
-            if !self.is_reader() {
-                sleep(ROLE_CHECK.to_duration()).await;
+            let again = tokio::time::timeout(ROLE_CHECK.to_duration(), async {
+                if !self.is_reader() {
+                    self.read_again.notified().await;
+                }
+            });
+            if again.await.is_err() {
                 continue;
             }
-            match self.watch_once().await {
+            let step = if self.is_reader() && self.watched.get() > RowVersion(0) {
+                self.watch_once().await
+            } else {
+                // Nodes that are told of a long row at the same time do not read it at the same time.
+                sleep(self.scatter(READ_SPREAD).to_duration()).await;
+                let newest = self.facts.borrow().newest();
+                match newest {
+                    RowVersion(0) => self.read_facts().await,
+                    // Status rows are short and come from peers.
+                    _ => self.read_operator().await,
+                }
+            };
+            match step {
                 Ok(()) => pause = RETRY_FIRST,
                 Err(e) => {
                     self.store_failed(&e);
@@ -74,11 +99,12 @@
         !self.store_reached.get() || self.peers.rank(&self.card.node) < self.cfg.peers.readers
     }
 
-    /// Makes the node known and reads all tables.
+    /// Makes the node known and finds the others. Rows of the operator come from peers, if one has
+    /// them, or else from the store.
     async fn enter(self: &Rc<Self>) -> Result<(), PlatformError> {
-        // The configuration first: requests wait for it.
-        self.read_facts().await?;
-        if !self.read_nodes().await? {
+        // At the first start no row can be there, and reading first would be a call too many.
+        let known = !self.cfg.first_start && self.read_nodes().await?;
+        if !known {
             let row = NodeRow {
                 address: self.card.address,
                 data_centre: self.card.data_centre.clone().into(),
@@ -95,19 +121,25 @@
             self.read_nodes().await?;
         }
         self.store_works();
+        let until = self.clock.now().0 + PEERS_FIRST.0;
+        while self.config().is_none() && self.clock.now().0 < until {
+            sleep(PEERS_CHECK.to_duration()).await;
+        }
         Ok(())
     }
 
-    /// Reads the operator's and the status table.
+    /// Reads the status and the operator's table.
     async fn read_facts(self: &Rc<Self>) -> Result<(), PlatformError> {
-        // The operator's table last, so that a watch from its version misses no change of it.
-        for source in [Source::Status, Source::Operator] {
-            let version = self.read_table(source.table(), |row| self.learn(source, row, "store"));
-            let version = version.await?;
-            if source == Source::Operator {
-                self.watched.set(version);
-            }
-        }
+        let table = Source::Status.table();
+        self.read_table(table, |row| self.learn(Source::Status, row, "store")).await?;
+        self.read_operator().await
+    }
+
+    /// Reads the operator's table; a watch from its version misses no change.
+    async fn read_operator(self: &Rc<Self>) -> Result<(), PlatformError> {
+        let table = Source::Operator.table();
+        let version = self.read_table(table, |row| self.learn(Source::Operator, row, "store"));
+        self.watched.set(version.await?);
         self.store_works();
         Ok(())
     }
--- a/crates/ibisroute/src/traffic/worker.rs
+++ b/crates/ibisroute/src/traffic/worker.rs
@@ -382,10 +382,12 @@
         self.release(observed, load);
         // A lost node fails about the same number of calls on each of its targets. A version with a
         // small share has few calls, so these failures would look like a fault of the version.
-        if matches!(end, AttemptEnd::Broken | AttemptEnd::NodeUnreachable) {
+        // A refusal for want of room tells of the load on the version's targets, which the stages of a
+        // move divide unequally, and nothing of the version.
+        if matches!(end, AttemptEnd::Broken | AttemptEnd::NodeUnreachable | AttemptEnd::Refused) {
             return;
         }
-        let not_run = matches!(end, AttemptEnd::Refused | AttemptEnd::Unreachable);
+        let not_run = end == AttemptEnd::Unreachable;
         {
             let mut counts = self.worker.counts.borrow_mut();
             let counts = counts.of(&self.entry, Some(&self.version));
@@ -397,7 +399,7 @@
                 counts.latency.record(u64::try_from(micros).unwrap_or(u64::MAX));
             }
         }
-        if let Some(id) = self.move_id.as_ref().filter(|_| end != AttemptEnd::Refused) {
+        if let Some(id) = self.move_id.as_ref() {
             self.worker.record_run(id, failed);
         }
     }
--- a/crates/ibisroute/tests/mesh_fleet.rs
+++ b/crates/ibisroute/tests/mesh_fleet.rs
@@ -129,6 +129,48 @@
     assert!(before.elapsed() < APPLY * 2);
 }
 
+/// Guards against a change that is too long to be pushed and does not arrive at nodes that do not watch,
+/// with the store and, for a node that the store turns away, without it.
+#[test]
+fn long_changes_arrive() {
+    let (mut fleet, _folder) = fleet("long", 4);
+    fleet.nodes[3].store_relay.change_rules(|r| r.refuse_new = true);
+    fleet.nodes[3].store_relay.reset_existing();
+    for further in [1_600, 800] {
+        fleet.configure_long(1_500, further);
+        let newest = fleet.config_version() as f64;
+        for node in &fleet.nodes {
+            let name = format!("{} to apply {further} more routes", node.name);
+            wait::until_true(&name, APPLY * 2, || {
+                node.metric("ibis_config_version") == Some(newest)
+            })
+            .expect("in force in time");
+        }
+    }
+}
+
+/// Guards against long bodies that are cut, mixed or lost when many cross between nodes at a time.
+#[test]
+fn uploads_arrive_whole() {
+    let (fleet, _folder) = fleet("uploads", 3);
+    std::thread::scope(|scope| {
+        for worker in 0..12 {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                let bytes = 100_000 + worker * 50_000;
+                let id = format!("upload-{worker}");
+                let node = &fleet.nodes[worker % 3];
+                let response = node.upload(&id, bytes, PATIENCE * 3).expect("an answer");
+                assert_eq!(response.status, 200, "{id}");
+                let ran = fleet.instances.iter().flat_map(|i| i.ran());
+                let sizes: Vec<usize> =
+                    ran.filter(|r| r.request_id == id).map(|r| r.body_bytes).collect();
+                assert_eq!(sizes, [bytes], "{id}");
+            });
+        }
+    });
+}
+
 /// Guards against an order that runs twice, and answers that belong to nobody, when instances misbehave.
 #[test]
 fn orders_run_once() {
