--- a/crates/ibisroute/src/mesh/mod.rs
+++ b/crates/ibisroute/src/mesh/mod.rs
@@ -1,13 +1,14 @@
 //! A node beside a target on the users' platform.
 //!
 //! [`node`] wires one process together on one thread. The path of a request: [`http_server`] reads it,
-//! [`proxy`] finds its route and chooses a target, [`link`] carries it to the node beside the target,
+//! [`proxy`] finds its route and `attempts` chooses a target, [`link`] carries it to the node beside the target,
 //! [`local_target`] queues it and sends it. What the operator writes reaches the node through
 //! [`store_watch`] or from peers and is kept in [`facts`].
 //!
 //! Decisions without I/O and clock: [`routes`], [`registry`], [`picker`], [`slot_queue`],
 //! [`retry_budget`], [`target_health`], [`rollout`], [`facts`], [`http1`].
 
+mod attempts;
 pub mod byte_delta;
 pub mod decision_log;
 pub mod facts;
