Bind the leave of a target that the node does not know yet

The leave is now kept, and heartbeats of that run or earlier ones change nothing. Tests unknown_target_can_leave (failed before: Started) and leave_without_start.

--- a/crates/ibisroute/src/mesh/listeners.rs
+++ b/crates/ibisroute/src/mesh/listeners.rs
@@ -17,6 +17,7 @@
 use crate::platform::heartbeat;
 use crate::types::ByteSize;
 use crate::types::InstanceId;
+use crate::types::UnixMillis;
 
 /// Longest body of a heartbeat or another control request.
 const CONTROL_BODY: ByteSize = ByteSize(64 * 1024);
@@ -68,7 +69,7 @@
 
     fn leave(&self, id: &InstanceId, body: &[u8]) -> Response {
         let node = &self.node;
-        if node.target.leave(id, heartbeat::decode_leave(body)) {
+        if node.target.leave(id, heartbeat::decode_leave(body), UnixMillis::now()) {
             let fields = [("target", id.as_str().into()), ("left", true.into())];
             node.log.line(node.clock.now(), Stream::Other, &codes::TARGET_LEAVING, &fields);
             node.status_changed.notify_one();
--- a/crates/ibisroute/src/mesh/local_target.rs
+++ b/crates/ibisroute/src/mesh/local_target.rs
@@ -154,10 +154,10 @@
     }
 
     /// The target says that it goes; true when the known run is meant.
-    pub fn leave(&self, id: &InstanceId, born: UnixMillis) -> bool {
+    pub fn leave(&self, id: &InstanceId, born: Option<UnixMillis>, wall: UnixMillis) -> bool {
         let actions = {
             let mut inner = self.inner.borrow_mut();
-            if !inner.instance.leave(id, born) {
+            if !inner.instance.leave(id, born, wall) {
                 return false;
             }
             inner.queue.leave()
--- a/crates/ibisroute/src/mesh/registry.rs
+++ b/crates/ibisroute/src/mesh/registry.rs
@@ -159,16 +159,23 @@
         change
     }
 
-    /// Applies a leave. Returns whether the known run is the one that leaves.
-    pub fn leave(&mut self, id: &InstanceId, born: UnixMillis) -> bool {
-        let Some(known) = self.current.as_mut().filter(|k| k.record.id == *id) else {
-            return false;
-        };
-        if born.0 != 0 && born < known.record.born {
-            return false;
+    /// Applies a leave. `born` is absent when the target does not tell its start; `wall` is the time of
+    /// day. Returns whether the known run is the one that leaves. The leave of a run that is not known
+    /// binds as well: its heartbeats may come later.
+    pub fn leave(&mut self, id: &InstanceId, born: Option<UnixMillis>, wall: UnixMillis) -> bool {
+        let known = self.current.as_mut();
+        if let Some(known) = known.filter(|k| k.record.id == *id) {
+            if born.is_some_and(|born| born < known.record.born) {
+                return false;
+            }
+            known.record.state = LifeState::Draining;
+            self.gone = Some((id.clone(), known.record.born));
+            return true;
+        }
+        let born = born.unwrap_or(wall);
+        if self.current.as_ref().is_none_or(|k| born > k.record.born) {
+            self.gone = Some((id.clone(), born));
         }
-        known.record.state = LifeState::Draining;
-        self.gone = Some((id.clone(), known.record.born));
-        true
+        false
     }
 }
--- a/crates/ibisroute/src/platform/heartbeat.rs
+++ b/crates/ibisroute/src/platform/heartbeat.rs
@@ -105,15 +105,13 @@
     wire.try_into()
 }
 
-/// Start of the run that leaves, from the body of `DELETE /-/instances/ID`; zero when it is absent.
-pub fn decode_leave(body: &[u8]) -> UnixMillis {
+/// Start of the run that leaves, from the body of `DELETE /-/instances/ID`; absent when it is not told.
+pub fn decode_leave(body: &[u8]) -> Option<UnixMillis> {
     #[derive(Deserialize)]
     struct LeaveWire {
-        #[serde(default)]
         born: u64,
     }
-    let wire = serde_json::from_slice::<LeaveWire>(body);
-    UnixMillis(wire.map(|w| w.born).unwrap_or_default())
+    serde_json::from_slice::<LeaveWire>(body).ok().map(|wire| UnixMillis(wire.born))
 }
 
 /// The target's id in a path under [`super::headers::INSTANCES_PATH`].
--- a/crates/ibisroute/tests/heartbeat_records.rs
+++ b/crates/ibisroute/tests/heartbeat_records.rs
@@ -23,6 +23,9 @@
     text.parse().expect("a valid id")
 }
 
+/// Time of day of the tests.
+const WALL: UnixMillis = UnixMillis(1_000);
+
 /// Guards against a field of the platform that is read as another one.
 #[test]
 fn fields_are_decoded() {
@@ -89,8 +92,33 @@
 fn gone_stays_gone() {
     let mut local = LocalInstance::default();
     local.hear(Millis(0), id("i-1"), beat("ready", 1, 100));
-    assert!(!local.leave(&id("i-2"), UnixMillis(0)));
-    assert!(local.leave(&id("i-1"), UnixMillis(0)));
+    assert!(!local.leave(&id("i-2"), Some(UnixMillis(50)), WALL));
+    assert!(local.leave(&id("i-1"), Some(UnixMillis(100)), WALL));
     assert_eq!(local.hear(Millis(1), id("i-1"), beat("ready", 2, 100)), Change::Stale);
     assert_eq!(local.hear(Millis(2), id("i-1"), beat("ready", 1, 300)), Change::Started);
 }
+
+/// Guards against a node that acknowledges the leaving of a target that it does not know, because it has
+/// just started, and then takes a late heartbeat for the target's return.
+#[test]
+fn unknown_target_can_leave() {
+    let mut local = LocalInstance::default();
+    assert!(!local.leave(&id("i-1"), Some(UnixMillis(100)), WALL));
+    assert_eq!(local.hear(Millis(0), id("i-1"), beat("ready", 7, 100)), Change::Stale);
+    assert_eq!(local.hear(Millis(1), id("i-1"), beat("ready", 1, 200)), Change::Started);
+    // One that is older than the present run says nothing of it.
+    assert!(!local.leave(&id("i-0"), Some(UnixMillis(50)), WALL));
+    assert_eq!(local.hear(Millis(2), id("i-1"), beat("ready", 2, 200)), Change::Refreshed);
+}
+
+/// Guards against a leave without a start that is ignored, and against one that binds a later run.
+#[test]
+fn leave_without_start() {
+    let mut local = LocalInstance::default();
+    assert!(!local.leave(&id("i-1"), None, WALL));
+    assert_eq!(local.hear(Millis(0), id("i-1"), beat("ready", 1, 900)), Change::Stale);
+    assert_eq!(local.hear(Millis(1), id("i-1"), beat("ready", 1, 1_100)), Change::Started);
+    // The clocks of host and target may differ: the known run is meant.
+    assert!(local.leave(&id("i-1"), None, WALL));
+    assert_eq!(local.hear(Millis(2), id("i-1"), beat("ready", 2, 1_100)), Change::Stale);
+}
