Refuse what a free slot cannot end in time; leave the queue earlier; keep calls nearer

A request now needs 0.8 of its route's usual time, and estimates fade with a half-life of 3 s, so that a slow spell does not refuse for ever.

--- a/crates/ibisroute/src/mesh/local_target.rs
+++ b/crates/ibisroute/src/mesh/local_target.rs
@@ -221,7 +221,7 @@
     /// Refuses waiting requests whose time has run out; never ends.
     pub async fn watch_queue(&self) {
         loop {
-            let check = self.inner.borrow().queue.next_check();
+            let check = self.inner.borrow().queue.next_check(self.clock.now());
             let changed = self.queue_changed.notified();
             match check {
                 None => changed.await,
@@ -266,7 +266,7 @@
 
     /// The refusal of a call that found no room.
     pub fn overloaded(&self) -> Outcome {
-        let service = self.inner.borrow().queue.service_ms("");
+        let service = self.inner.borrow().queue.service_ms(self.clock.now(), "");
         refused(RefusalReason::Overloaded, Millis(service as u64))
     }
 
@@ -428,7 +428,7 @@
 
     /// Counts a request that was given up without an answer as lost if it took very long.
     fn count_if_lost(&self, took: Millis) {
-        let usual = self.inner.borrow().queue.service_ms("");
+        let usual = self.inner.borrow().queue.service_ms(self.clock.now(), "");
         let lost = (usual * self.health.lost_factor).max(self.health.lost_least.0 as f64);
         if took.0 as f64 > lost {
             self.inner.borrow_mut().idle.clear();
--- a/crates/ibisroute/src/mesh/mesh_settings.rs
+++ b/crates/ibisroute/src/mesh/mesh_settings.rs
@@ -148,7 +148,7 @@
 
 impl Default for LinkSettings {
     fn default() -> Self {
-        Self { mbps: 1_000.0, mbps_per_body: 30.0 }
+        Self { mbps: 1_000.0, mbps_per_body: 15.0 }
     }
 }
 
--- a/crates/ibisroute/src/mesh/picker.rs
+++ b/crates/ibisroute/src/mesh/picker.rs
@@ -44,8 +44,8 @@
 impl Default for PickerSettings {
     fn default() -> Self {
         Self {
-            cross_cost: Millis(12),
-            cross_cost_ms_per_kb: 2.0,
+            cross_cost: Millis(25),
+            cross_cost_ms_per_kb: 4.0,
             cross_cost_share: 0.5,
             failure_cost: 2.0,
             cold_factor: 2.0,
--- a/crates/ibisroute/src/mesh/slot_queue.rs
+++ b/crates/ibisroute/src/mesh/slot_queue.rs
@@ -26,6 +26,8 @@
     /// Multiple of the average service time that a request must have left when it starts. Service
     /// times scatter; with the bare average half of the requests would miss their deadline.
     pub start_margin: f64,
+    /// The same for a request that finds a free slot: below it, the slot would work for nobody.
+    pub free_margin: f64,
     /// Multiple of the average service time that a request must have left before its aim to count as
     /// in time.
     pub aim_margin: f64,
@@ -43,9 +45,10 @@
             forget: Millis(3_000),
             estimate_weight: 0.1,
             start_margin: 1.3,
+            free_margin: 0.8,
             aim_margin: 1.2,
             fair_turn: 5,
-            late_wait_share: 0.3,
+            late_wait_share: 0.18,
         }
     }
 }
@@ -121,7 +124,8 @@
     leaving: bool,
     running: HashMap<u64, SmolStr>,
     waiting: Vec<Waiting>,
-    estimates: BTreeMap<SmolStr, f64>,
+    /// Service time of each route and when it was last observed.
+    estimates: BTreeMap<SmolStr, (f64, Millis)>,
     average_ms: f64,
     /// When the last service time was observed; absent for a run without one.
     observed: Option<Millis>,
@@ -148,8 +152,8 @@
     /// while it is not known.
     pub fn load(&self, now: Millis) -> Load {
         let service_ms = self.observed.map_or(0.0, |at| {
-            let idle = if self.running.is_empty() { now.since(at).0 as f64 } else { 0.0 };
-            self.average_ms * (-idle / (self.cfg.forget.0 as f64).max(1.0)).exp2()
+            let idle = if self.running.is_empty() { now.since(at) } else { Millis(0) };
+            self.faded(self.average_ms, idle)
         });
         Load {
             running: self.running.len() as u32,
@@ -160,9 +164,17 @@
         }
     }
 
-    /// Average time that a request holds a slot.
-    pub fn service_ms(&self, route: &str) -> f64 {
-        self.estimates.get(route).copied().unwrap_or(self.average_ms)
+    /// Average time that a request of a route holds a slot. It fades without observations: an estimate
+    /// above every deadline would refuse all requests and never be corrected.
+    pub fn service_ms(&self, now: Millis, route: &str) -> f64 {
+        match self.estimates.get(route) {
+            Some((ms, at)) => self.faded(*ms, now.since(*at)),
+            None => self.faded(self.average_ms, now.since(self.observed.unwrap_or(now))),
+        }
+    }
+
+    fn faded(&self, ms: f64, age: Millis) -> f64 {
+        ms * (-(age.0 as f64) / (self.cfg.forget.0 as f64).max(1.0)).exp2()
     }
 
     /// Why a request would be refused now, and after which time it may come again.
@@ -171,11 +183,12 @@
             return Some((RefusalReason::Leaving, Millis(0)));
         }
         let wait = self.wait_ms(now, ticket);
-        let service = self.service_ms(&ticket.route);
+        let service = self.service_ms(now, &ticket.route);
         let left = ticket.deadline.since(now).0 as f64;
         let to_aim = ticket.aim.since(now).0 as f64;
         let in_time = wait + service * self.cfg.aim_margin <= to_aim;
-        let hopeless = wait + service * self.cfg.start_margin > left && wait > 0.0;
+        let margin = if wait > 0.0 { self.cfg.start_margin } else { self.cfg.free_margin };
+        let hopeless = wait + service * margin > left;
         let too_late = !in_time && wait > left * self.cfg.late_wait_share;
         let refused = left <= 0.0 || hopeless || too_late;
         refused.then(|| (RefusalReason::Overloaded, Millis(wait.max(service) as u64)))
@@ -196,8 +209,9 @@
         if let Some(took) = took {
             let took = (took.0 as f64).max(1.0);
             let weight = self.cfg.estimate_weight;
-            let estimate = self.estimates.entry(route).or_insert(took);
+            let (estimate, at) = self.estimates.entry(route).or_insert((took, now));
             *estimate += (took - *estimate) * weight;
+            *at = now;
             self.average_ms += (took - self.average_ms) * weight;
             if self.observed.is_none() {
                 self.average_ms = took;
@@ -262,7 +276,7 @@
         let free = self.running.len() < self.slots as usize;
         waiting.retain(|waiting| {
             let ticket = &waiting.ticket;
-            let keep = now <= self.latest_start(waiting) || (free && now < ticket.deadline);
+            let keep = now <= self.latest_start(now, waiting) || (free && now < ticket.deadline);
             if !keep {
                 let back = Millis(self.average_ms as u64);
                 actions.push(Action::Refuse(ticket.id, RefusalReason::Overloaded, back));
@@ -281,15 +295,15 @@
     }
 
     /// The point at which the next waiting request has to be refused.
-    pub fn next_check(&self) -> Option<Millis> {
-        self.waiting.iter().map(|w| Millis(self.latest_start(w).0 + 1)).min()
+    pub fn next_check(&self, now: Millis) -> Option<Millis> {
+        self.waiting.iter().map(|w| Millis(self.latest_start(now, w).0 + 1)).min()
     }
 
     /// Last point at which a start is of use: in time for the aim, or else within the share of its time
     /// that a late request may wait, and always before the deadline is out of reach.
-    fn latest_start(&self, waiting: &Waiting) -> Millis {
+    fn latest_start(&self, now: Millis, waiting: &Waiting) -> Millis {
         let Waiting { ticket, since } = waiting;
-        let service = self.service_ms(&ticket.route);
+        let service = self.service_ms(now, &ticket.route);
         let before = |end: Millis, margin: f64| end.0.saturating_sub((service * margin) as u64);
         let patience = ticket.deadline.since(*since).0 as f64 * self.cfg.late_wait_share;
         let useful = before(ticket.aim, self.cfg.aim_margin).max(since.0 + patience as u64);
@@ -308,7 +322,7 @@
     }
 
     fn is_late(&self, now: Millis, ticket: &Ticket) -> bool {
-        let service = self.service_ms(&ticket.route) * self.cfg.aim_margin;
+        let service = self.service_ms(now, &ticket.route) * self.cfg.aim_margin;
         now.0 as f64 + service > ticket.aim.0 as f64
     }
 
@@ -324,7 +338,7 @@
             .iter()
             .map(|w| &w.ticket)
             .filter(|t| (self.is_late(now, t), t.priority, t.aim) <= key)
-            .map(|t| self.service_ms(&t.route))
+            .map(|t| self.service_ms(now, &t.route))
             .sum();
         // Running requests free a slot every `average / slots` on average.
         (ahead + self.average_ms) / f64::from(self.slots.max(1))
--- a/crates/ibisroute/tests/slot_queue.rs
+++ b/crates/ibisroute/tests/slot_queue.rs
@@ -59,12 +59,12 @@
     let mut queue = SlotQueue::new(QueueSettings::default(), 1);
     queue.offer(Millis(0), ticket(1, 2, 1_000, 1_000));
     queue.offer(Millis(0), ticket(2, 2, 600, 600));
-    let check = queue.next_check().expect("a request waits");
+    let check = queue.next_check(Millis(0)).expect("a request waits");
     assert!(check < Millis(600), "{check}");
     assert_eq!(refused(&queue.fill(check)), [2]);
     // One that has missed its aim is let go while its caller can still try elsewhere.
     queue.offer(Millis(0), ticket(3, 2, 300, 1_200));
-    let check = queue.next_check().expect("a request waits");
+    let check = queue.next_check(Millis(0)).expect("a request waits");
     assert!(check <= Millis(400), "{check}");
     assert_eq!(refused(&queue.fill(check)), [3]);
 }
@@ -114,6 +114,18 @@
     assert_eq!(queue.running(), 1);
 }
 
+/// Guards against work for a caller that will have gone, and against an estimate that refuses for ever.
+#[test]
+fn no_time_is_refused() {
+    let mut queue = SlotQueue::new(QueueSettings::default(), 2);
+    queue.offer(Millis(0), ticket(1, 2, 9_000, 9_000));
+    queue.finish(Millis(400), 1, Some(Millis(400)));
+    assert_eq!(refused(&queue.offer(Millis(400), ticket(2, 2, 450, 600))), [2]);
+    assert_eq!(started(&queue.offer(Millis(400), ticket(3, 2, 800, 900))), [3]);
+    // Four half-lives later the same time is enough.
+    assert_eq!(started(&queue.offer(Millis(12_400), ticket(4, 2, 12_450, 12_600))), [4]);
+}
+
 /// Guards against a target that was slow once and is never tried again, and against a new run that
 /// inherits the speed of the last one.
 #[test]
@@ -159,7 +171,7 @@
             actions
                 .extend(queue.offer(Millis(now), ticket(id, priority, now + AIM_MS, now + 1_000)));
         }
-        if queue.next_check().is_some_and(|at| at.0 <= now) {
+        if queue.next_check(Millis(now)).is_some_and(|at| at.0 <= now) {
             actions.extend(queue.fill(Millis(now)));
         }
         for start in started(&actions) {
