--- a/crates/ibisroute/src/traffic/balancer.rs
+++ b/crates/ibisroute/src/traffic/balancer.rs
@@ -37,20 +37,6 @@
     ejected_until: Option<Millis>,
     probing: bool,
     used: Millis,
-    /// When the ejection last changed, here or on another thread.
-    changed: Millis,
-}
-
-/// State of a target's ejection, as the threads of a node tell it to each other. Without it each thread
-/// would find out for itself, with calls of its own, that a target still hangs.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Ejection {
-    /// End of the ejection; `None` when the target is back.
-    pub until: Option<Millis>,
-    /// Ejections in a row.
-    pub count: u32,
-    /// When this became known.
-    pub at: Millis,
 }
 
 /// Two random choices over own calls in flight and the load that peers report. Targets that fail
@@ -60,7 +46,6 @@
     settings: TrafficSettings,
     rng: SmallRng,
     targets: BTreeMap<InstanceId, TargetStats>,
-    news: BTreeMap<InstanceId, Ejection>,
 }
 
 /// Time that a target waits for a repeatable call as its probe.
@@ -78,12 +63,7 @@
 impl Balancer {
     /// Makes a balancer whose random choices follow from `seed`.
     pub fn new(settings: TrafficSettings, seed: u64) -> Self {
-        Self {
-            settings,
-            rng: SmallRng::seed_from_u64(seed),
-            targets: BTreeMap::new(),
-            news: BTreeMap::new(),
-        }
+        Self { settings, rng: SmallRng::seed_from_u64(seed), targets: BTreeMap::new() }
     }
 
     /// Chooses a target and counts a call in flight on it. `None` when all candidates were tried.
@@ -122,10 +102,6 @@
         let stats = self.targets.entry(chosen.clone()).or_default();
         if stats.ejected_until.is_some_and(|until| until <= now) {
             stats.probing = true;
-            // Other threads wait for the outcome of this probe.
-            let until = Some(Millis(now.0 + self.settings.eject.0));
-            let ejection = Ejection { until, count: stats.ejections, at: now };
-            self.news.insert(chosen.clone(), ejection);
         }
         stats.in_flight += 1;
         stats.used = now;
@@ -146,7 +122,6 @@
             stats.reported = load.queued + load.in_flight;
             stats.reported_at = now;
         }
-        let before = stats.ejected_until;
         match observed {
             Observed::Success => {
                 stats.failures = 0;
@@ -166,30 +141,6 @@
             stats.ejected_until = Some(Millis(now.0 + self.settings.eject.0 * factor));
             stats.ejections += 1;
         }
-        if stats.ejected_until != before {
-            stats.changed = now;
-            let (until, count) = (stats.ejected_until, stats.ejections);
-            self.news.insert(instance.clone(), Ejection { until, count, at: now });
-        }
-    }
-
-    /// Ejections that changed since the last call, for the other threads.
-    pub fn take_news(&mut self) -> BTreeMap<InstanceId, Ejection> {
-        std::mem::take(&mut self.news)
-    }
-
-    /// Takes over what another thread found out, unless this one knows better.
-    pub fn adopt(&mut self, instance: &InstanceId, ejection: Ejection) {
-        let stats = self.targets.entry(instance.clone()).or_default();
-        if stats.probing || ejection.at <= stats.changed {
-            return;
-        }
-        stats.ejected_until = ejection.until;
-        stats.ejections = ejection.count;
-        stats.changed = ejection.at;
-        if ejection.until.is_none() {
-            stats.failures = 0;
-        }
     }
 
     /// Forgets targets that were not used for `age` and have no call in flight.
--- a/crates/ibisroute/src/traffic/threads.rs
+++ b/crates/ibisroute/src/traffic/threads.rs
@@ -119,7 +119,6 @@
         settings: cx.traffic_settings,
         peer_settings: cx.peer_settings,
         stopped_moves: ArcSwap::from_pointee(BTreeMap::new()),
-        ejections: ArcSwap::from_pointee(BTreeMap::new()),
         in_flight: in_flight.clone(),
         started: Instant::now(),
         seed: cx.seed,
--- a/crates/ibisroute/src/traffic/worker.rs
+++ b/crates/ibisroute/src/traffic/worker.rs
@@ -18,7 +18,6 @@
 use tokio::sync::Notify;
 
 use super::balancer::Balancer;
-use super::balancer::Ejection;
 use super::balancer::Observed;
 use super::balancer::Probing;
 use super::dispatch::DispatchHandle;
@@ -64,8 +63,6 @@
     pub(super) peer_settings: PeerSettings,
     /// Moves whose share this node stopped, and until when.
     pub(super) stopped_moves: ArcSwap<BTreeMap<MoveId, Millis>>,
-    /// Ejections of targets that a thread of this node found out.
-    pub(super) ejections: ArcSwap<BTreeMap<InstanceId, Ejection>>,
     pub(super) in_flight: Arc<InFlight>,
     pub(super) started: Instant,
     pub(super) seed: u64,
@@ -76,20 +73,6 @@
     pub(super) fn now(&self) -> Millis {
         self.started.elapsed().into()
     }
-
-    /// Tells the other threads of ejections. Old ones are dropped: every thread knows them.
-    fn tell_ejections(&self, news: BTreeMap<InstanceId, Ejection>) {
-        if news.is_empty() {
-            return;
-        }
-        let now = self.now();
-        self.ejections.rcu(|told| {
-            let mut told = BTreeMap::clone(told);
-            told.retain(|_, e| now.since(e.at) < FORGET_TARGETS);
-            told.extend(news.iter().map(|(instance, e)| (instance.clone(), *e)));
-            told
-        });
-    }
 }
 
 /// Counts the callers' calls that are not wholly answered.
@@ -228,13 +211,8 @@
         let own = &self.shared.data_centre;
         let probing = if entry.class.is_repeatable() { Probing::Allowed } else { Probing::Avoided };
         let mut balancer = self.balancer.borrow_mut();
-        for (instance, ejection) in self.shared.ejections.load().iter() {
-            balancer.adopt(instance, *ejection);
-        }
         let instance = balancer.choose_for(now, own, &candidates, tried, probing)?;
-        let news = balancer.take_news();
         drop(balancer);
-        self.shared.tell_ejections(news);
         let endpoint = candidates.into_iter().find(|e| e.instance == instance)?.clone();
         let move_id = declared.filter(|m| m.to == version).map(|m| m.id.clone());
         Some(Attempt {
@@ -408,9 +386,6 @@
         let now = self.worker.shared.now();
         let mut balancer = self.worker.balancer.borrow_mut();
         balancer.finish(now, &self.endpoint.instance, observed, load);
-        let news = balancer.take_news();
-        drop(balancer);
-        self.worker.shared.tell_ejections(news);
     }
 }
 
