Judge a move by the time of the target, without the wait in its queue

Cause: the latency in the evidence of a move ran from the choice of the target to the end of its answer. When a stage gives more calls to a version than its few targets have slots for, that time holds the wait in the queue, and a good version is withdrawn for slow calls (overloaded_service). The node beside the target measures its own time and sends it along; what lies outside it no longer counts.

Ruled out: refusals, which have not counted since.

--- a/crates/ibisroute/src/traffic/ingress.rs
+++ b/crates/ibisroute/src/traffic/ingress.rs
@@ -397,7 +397,10 @@
         let CallReply { head, body } = reply;
         match head {
             ReplyHead::Answer { status, headers, body_bytes, load, .. } => {
-                let answer = Answer { status, headers, body_bytes, body, load, attempt };
+                let mut answer = Answer { status, headers, body_bytes, body, load, attempt };
+                if let Some(service) = answer.service_time() {
+                    answer.attempt.note_service_time(service);
+                }
                 Attempted::Answer(Box::new(answer))
             }
             ReplyHead::Refused { reason, load, .. } => {
@@ -485,11 +488,9 @@
         claim: Option<ClaimGuard>,
         began: Instant,
     ) -> HttpResponse {
-        if let Some(service) =
-            answer.header(headers::SERVICE_MICROS).and_then(|v| v.parse::<f64>().ok())
-        {
-            let added = began.elapsed().as_secs_f64() - service / 1e6;
-            metrics::histogram!("ibis_added_latency_seconds").record(added.max(0.0));
+        if let Some(service) = answer.service_time() {
+            let added = began.elapsed().saturating_sub(service);
+            metrics::histogram!("ibis_added_latency_seconds").record(added.as_secs_f64());
         }
         let cx = ResponseCx {
             worker: self.worker,
--- a/crates/ibisroute/src/traffic/response.rs
+++ b/crates/ibisroute/src/traffic/response.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 use std::time::Instant;
 
 use actix_web::HttpResponse;
@@ -52,6 +53,11 @@
         std::str::from_utf8(value).ok()
     }
 
+    /// Time of the target until the head of its answer, as the node beside it measured it.
+    pub(super) fn service_time(&self) -> Option<Duration> {
+        self.header(headers::SERVICE_MICROS)?.parse().ok().map(Duration::from_micros)
+    }
+
     /// How the attempt counts when its body is whole.
     pub(super) fn end(&self) -> AttemptEnd {
         if self.status >= 500 { AttemptEnd::Failed } else { AttemptEnd::Answered }
--- a/crates/ibisroute/src/traffic/worker.rs
+++ b/crates/ibisroute/src/traffic/worker.rs
@@ -223,6 +223,7 @@
             version,
             move_id,
             began: Instant::now(),
+            outside_target: Duration::ZERO,
             ended: false,
         })
     }
@@ -341,10 +342,18 @@
     pub(super) version: VersionName,
     move_id: Option<MoveId>,
     pub(super) began: Instant,
+    /// Time before the target got the call and on the way back, as far as it is known.
+    outside_target: Duration,
     ended: bool,
 }
 
 impl Attempt {
+    /// Notes the target's own time until the head of its answer. A move is judged by it: a wait in
+    /// the queue of the target tells of the share of calls that a stage gives to a few targets.
+    pub(super) fn note_service_time(&mut self, service: Duration) {
+        self.outside_target = self.began.elapsed().saturating_sub(service);
+    }
+
     /// Ends the attempt and counts it.
     pub(super) fn finish(mut self, end: AttemptEnd, load: Option<LoadWire>) {
         self.ended = true;
@@ -373,7 +382,7 @@
             counts.failures += u64::from(failed);
             counts.refused += u64::from(not_run);
             if !not_run {
-                let micros = self.began.elapsed().as_micros();
+                let micros = self.began.elapsed().saturating_sub(self.outside_target).as_micros();
                 counts.latency.record(u64::try_from(micros).unwrap_or(u64::MAX));
             }
         }
