Read the store at once when no peer knows a configuration

A node that is among the first readers by name now reads the store as soon as the peers that have answered know no row; the others are told by it. A peer's word that its rows are too long to be sent ends the wait as well.

Ruled out: reads by every node at once, which cost store calls of each.

--- a/crates/ibisroute/src/mesh/peers.rs
+++ b/crates/ibisroute/src/mesh/peers.rs
@@ -69,6 +69,17 @@
             .count()
     }
 
+    /// Whether `own` has to read the store for the others because none of them knows a row, as after a
+    /// restart of all nodes: peers have answered, and it is among the first `readers` nodes by name,
+    /// whether the others can be reached yet or not.
+    pub fn nobody_knows_rows(&self, own: &NodeId, readers: usize) -> bool {
+        let map = self.map.borrow();
+        let mut statuses = map.values().filter_map(|p| p.status.as_ref()).peekable();
+        statuses.peek().is_some()
+            && statuses.all(|s| s.newest == RowVersion(0))
+            && map.keys().take_while(|name| *name < own).count() < readers
+    }
+
     /// Cards of all peers.
     pub fn cards(&self) -> Vec<NodeCard> {
         self.map.borrow().values().map(|p| p.card.clone()).collect()
--- a/crates/ibisroute/src/mesh/store_watch.rs
+++ b/crates/ibisroute/src/mesh/store_watch.rs
@@ -121,11 +121,26 @@
             self.read_nodes().await?;
         }
         self.store_works();
+        self.wait_for_rows().await;
+        Ok(())
+    }
+
+    /// Waits until peers have told the operator's rows or cannot tell them.
+    async fn wait_for_rows(&self) {
         let until = self.clock.now().0 + PEERS_FIRST.0;
         while self.config().is_none() && self.clock.now().0 < until {
-            sleep(PEERS_CHECK.to_duration()).await;
+            if self.peers.nobody_knows_rows(&self.card.node, self.cfg.peers.readers) {
+                return;
+            }
+            tokio::select! {
+                // A peer has rows that are too long to be sent.
+                () = self.read_again.notified() => {
+                    self.read_again.notify_one();
+                    return;
+                }
+                () = sleep(PEERS_CHECK.to_duration()) => {}
+            }
         }
-        Ok(())
     }
 
     /// Reads the status and the operator's table.
--- a/crates/ibisroute/tests/mesh_fleet.rs
+++ b/crates/ibisroute/tests/mesh_fleet.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::Value;
 use standins::http::Response;
 use standins::mesh::fleet::MeshFleet;
 use standins::mesh::fleet::MeshNode;
@@ -24,6 +25,9 @@
 /// Bound of the users for a configuration, a drain and a roll-back.
 const APPLY: Duration = Duration::from_secs(2);
 
+/// Time in which something that needs no network is to be seen.
+const SOON: Duration = Duration::from_secs(3);
+
 struct Folder(PathBuf);
 
 impl Drop for Folder {
@@ -280,6 +284,35 @@
     fleet.wait_serving(Duration::from_secs(5)).expect("serves again");
 }
 
+/// Time of the first event of a name in a node's log.
+fn first_event(node: &MeshNode, name: &str) -> Option<u64> {
+    let lines = node.log();
+    let mut events = lines.iter().filter_map(|l| serde_json::from_str::<Value>(l).ok());
+    events.find(|e| e["event"] == name)?["unix_ms"].as_u64()
+}
+
+/// Guards against nodes that wait after a restart of all of them for peers that know no configuration
+/// either, and refuse their callers meanwhile.
+#[test]
+fn all_restart_at_once() {
+    let (mut fleet, _folder) = fleet("restart", 4);
+    for i in 0..fleet.nodes.len() {
+        fleet.kill(i).expect("killed");
+    }
+    for i in 0..fleet.nodes.len() {
+        fleet.start_node(i).expect("started again");
+    }
+    fleet.wait_serving(Duration::from_secs(8)).expect("all serve again");
+    let node = &fleet.nodes[0];
+    // Lines are written in batches.
+    wait::until_true("the log", SOON, || first_event(node, "config_in_force").is_some())
+        .expect("the configuration in the log");
+    let event = |name| first_event(node, name).expect("a line that was written before");
+    let took = event("config_in_force") - event("mesh_started");
+    // The wait for peers that may know the configuration is 400 ms.
+    assert!(took < 400, "the configuration was in force {took} ms after the start");
+}
+
 /// Guards against a store outage that stops requests, and against a node that starts meanwhile and never
 /// learns the configuration from its peers.
 #[test]
