Take late requests at a stopping node only if they end before the process

Cause: a stopping node took every request until 4.3 s of its 6 s and ended at 5.7 s.

In the second half of the grace period a request is now taken only if its deadline comes before the end, and the node stays as long as callers come. A request counts as open from its head until its answer is written.

Ruled out: a fixed earlier refusal, which turns away callers with short deadlines for no reason.

--- a/crates/ibisroute/src/mesh/attempts.rs
+++ b/crates/ibisroute/src/mesh/attempts.rs
@@ -28,6 +28,7 @@
 use super::rollout::Gate;
 use super::routes::Route;
 use super::routes::RouteTable;
+use super::slot_queue::Load;
 use super::slot_queue::RefusalReason;
 use crate::events::EventCode;
 use crate::events::mesh as codes;
@@ -72,6 +73,8 @@
 struct Choice {
     node: NodeId,
     record: InstanceRecord,
+    /// Load of the target as this node knew it.
+    load: Load,
 }
 
 /// An answer of a target.
@@ -134,12 +137,8 @@
         route: &'a Route,
         req: &'a Request,
     ) -> Self {
-        let headers = &req.head.headers;
-        let patience =
-            headers.text(headers::DEADLINE_MS).and_then(|t| t.trim().parse::<f64>().ok());
-        let patience = patience.filter(|ms| ms.is_finite() && *ms >= 0.0);
-        let timeout = route.timeout.to_duration();
-        let total = patience.map_or(timeout, |ms| timeout.min(Millis(ms as u64).to_duration()));
+        let patience = proxy::patience(&req.head.headers);
+        let total = patience.map_or(route.timeout, |p| p.min(route.timeout)).to_duration();
         // A caller that comes back after a refusal has less time left than at first; its aim began
         // with its first try.
         let spent = node.spent_before(&route.name, patience);
@@ -148,7 +147,7 @@
             config,
             route,
             req,
-            id: SmolStr::new(headers.text(headers::REQUEST_ID).unwrap_or_default()),
+            id: SmolStr::new(req.head.headers.text(headers::REQUEST_ID).unwrap_or_default()),
             aim: req.arrived + route.aim.to_duration().saturating_sub(spent.to_duration()),
             deadline: req.arrived + total,
             sends: Cell::new(0),
@@ -344,8 +343,8 @@
         let ask = Ask { now, to_aim, bytes: self.req.body.len() };
         let candidates: Vec<Candidate> = allowed.iter().map(|(c, _)| c.clone()).collect();
         let chosen = node.picker.borrow_mut().choose(ask, &candidates)?;
-        let (_, record) = allowed.into_iter().find(|(c, _)| c.node == chosen)?;
-        Some(Choice { node: chosen, record })
+        let (candidate, record) = allowed.into_iter().find(|(c, _)| c.node == chosen)?;
+        Some(Choice { node: chosen, record, load: candidate.load })
     }
 
     fn answer(&self, answer: TargetAnswer) -> Response {
@@ -389,6 +388,9 @@
                 ("reason", reason.into()),
                 ("target", choice.record.id.as_str().into()),
                 ("node", choice.node.as_str().into()),
+                ("believed_running", choice.load.running.into()),
+                ("believed_waiting", choice.load.waiting.into()),
+                ("believed_slots", choice.load.slots.into()),
             ],
         );
     }
--- a/crates/ibisroute/src/mesh/http_server.rs
+++ b/crates/ibisroute/src/mesh/http_server.rs
@@ -1,5 +1,6 @@
 //! Serves HTTP/1.1 on a listener: one request at a time on a connection, bodies read whole.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::rc::Rc;
@@ -91,6 +92,31 @@
 
     /// A request ended without a whole answer because its caller left.
     fn caller_left(&self) {}
+
+    /// Counter of the requests that were accepted and have no whole answer yet.
+    fn open_requests(&self) -> Option<&Cell<usize>> {
+        None
+    }
+}
+
+/// Counts a request from its head until its answer is written.
+struct OpenRequest<'a>(Option<&'a Cell<usize>>);
+
+impl<'a> OpenRequest<'a> {
+    fn new(count: Option<&'a Cell<usize>>) -> Self {
+        if let Some(count) = count {
+            count.set(count.get() + 1);
+        }
+        Self(count)
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        if let Some(count) = self.0 {
+            count.set(count.get() - 1);
+        }
+    }
 }
 
 /// Accepts connections until the future is dropped.
@@ -148,6 +174,7 @@
                 }
                 return self.refuse(response).await;
             }
+            let _open = OpenRequest::new(handler.open_requests());
             let body = match self.read_body(&head, &limits).await? {
                 Ok(body) => body,
                 Err(response) => return self.refuse(response).await,
--- a/crates/ibisroute/src/mesh/mod.rs
+++ b/crates/ibisroute/src/mesh/mod.rs
@@ -13,6 +13,7 @@
 pub mod decision_log;
 pub mod facts;
 pub mod frames;
+pub mod graceful_stop;
 pub mod http1;
 pub mod http_server;
 pub mod link;
--- a/crates/ibisroute/src/mesh/node.rs
+++ b/crates/ibisroute/src/mesh/node.rs
@@ -33,6 +33,7 @@
 use super::frames::NodeCard;
 use super::frames::Outcome;
 use super::frames::Status;
+use super::graceful_stop::GracefulStop;
 use super::http1::RequestHead;
 use super::link::LinkEvents;
 use super::local_target::LocalTarget;
@@ -126,8 +127,14 @@
     pub status_changed: Notify,
     /// A graceful stop has begun.
     pub leaving: Cell<bool>,
-    /// Requests are refused, because the stop is near.
+    /// The graceful stop, if one has begun.
+    pub stop: Cell<Option<GracefulStop>>,
+    /// All requests are refused, because the callers seem to have left.
     pub refusing: Cell<bool>,
+    /// Requests of callers since the start.
+    pub requests: Cell<u64>,
+    /// When the last one arrived.
+    pub last_request: Cell<Millis>,
     /// Requests of callers that have no answer yet.
     pub in_flight: Cell<usize>,
     /// Bytes of their bodies.
@@ -138,7 +145,7 @@
     pub read_again: Notify,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     budget: Cell<BudgetSettings>,
-    patience: RefCell<HashMap<SmolStr, f64>>,
+    patience: RefCell<HashMap<SmolStr, Millis>>,
     answers: RefCell<HashMap<SmolStr, f64>>,
     rng: RefCell<SmallRng>,
     asked: Cell<Option<Millis>>,
@@ -180,7 +187,10 @@
             watched: Cell::new(RowVersion(0)),
             status_changed: Notify::new(),
             leaving: Cell::new(false),
+            stop: Cell::new(None),
             refusing: Cell::new(false),
+            requests: Cell::new(0),
+            last_request: Cell::new(Millis(0)),
             in_flight: Cell::new(0),
             held_bytes: Cell::new(0),
             bodies: Arc::new(Semaphore::new(cfg.link.bodies())),
@@ -256,12 +266,12 @@
 
     /// Time that a caller spent on earlier tries, from the time that it still waits: the longest time
     /// that callers of a route wait is that of their first try.
-    pub fn spent_before(&self, route: &SmolStr, patience_ms: Option<f64>) -> Millis {
-        let Some(ms) = patience_ms else { return Millis(0) };
-        let mut patience = self.patience.borrow_mut();
-        let longest = patience.entry(route.clone()).or_insert(ms);
-        *longest = longest.max(ms);
-        Millis((*longest - ms) as u64)
+    pub fn spent_before(&self, route: &SmolStr, patience: Option<Millis>) -> Millis {
+        let Some(patience) = patience else { return Millis(0) };
+        let mut all = self.patience.borrow_mut();
+        let longest = all.entry(route.clone()).or_insert(patience);
+        *longest = (*longest).max(patience);
+        Millis(longest.0 - patience.0)
     }
 
     /// Counts the time that an attempt took to its answer.
--- a/crates/ibisroute/src/mesh/proxy.rs
+++ b/crates/ibisroute/src/mesh/proxy.rs
@@ -11,6 +11,7 @@
 use super::http_server::Handler;
 use super::http_server::Request;
 use super::http_server::Response;
+use super::http1::Headers;
 use super::http1::RequestHead;
 use super::node::Node;
 use super::picker::Candidate;
@@ -42,22 +43,6 @@
     pub node: Rc<Node>,
 }
 
-/// Counts a request until its answer is made.
-struct InFlight<'a>(&'a Cell<usize>);
-
-impl<'a> InFlight<'a> {
-    fn new(count: &'a Cell<usize>) -> Self {
-        count.set(count.get() + 1);
-        Self(count)
-    }
-}
-
-impl Drop for InFlight<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 /// Counts the bytes of a body that is held.
 struct HeldBytes<'a>(&'a Cell<usize>, usize);
 
@@ -81,6 +66,8 @@
 
     fn refuse_early(&self, head: &RequestHead) -> Option<Response> {
         let node = &self.node;
+        node.requests.set(node.requests.get() + 1);
+        node.last_request.set(node.clock.now());
         let refuse = |status, reason: &'static str| {
             node.log_request(
                 &codes::REQUEST_REFUSED,
@@ -101,9 +88,14 @@
             return Some(Response::status(400));
         }
         let host = head.headers.text("host").unwrap_or_default();
-        if config.find(host, &head.target).is_none() {
+        let Some(route) = config.find(host, &head.target) else {
             refuse(404.into(), "no route");
             return Some(echo_id(Response::status(404), head));
+        };
+        let total = patience(&head.headers).map_or(route.timeout, |p| p.min(route.timeout));
+        if node.stop.get().is_some_and(|stop| !stop.admits(node.clock.now(), total)) {
+            refuse(503.into(), "stopping");
+            return Some(node.not_run(head, None, None));
         }
         let limit = node.body_limit();
         let long = match head.framing {
@@ -119,7 +111,6 @@
 
     async fn handle(self: Rc<Self>, req: Request) -> Response {
         let node = &self.node;
-        let _in_flight = InFlight::new(&node.in_flight);
         let _held = HeldBytes::new(&node.held_bytes, req.body.len());
         let Some(config) = node.config() else { return node.not_run(&req.head, None, None) };
         let host = req.head.headers.text("host").unwrap_or_default();
@@ -136,6 +127,16 @@
     fn is_closing(&self) -> bool {
         self.node.leaving.get()
     }
+
+    fn open_requests(&self) -> Option<&Cell<usize>> {
+        Some(&self.node.in_flight)
+    }
+}
+
+/// Time that a caller still waits, if it tells.
+pub(super) fn patience(headers: &Headers) -> Option<Millis> {
+    let told = headers.text(headers::DEADLINE_MS)?.trim().parse::<f64>().ok()?;
+    (told.is_finite() && told >= 0.0).then_some(Millis(told as u64))
 }
 
 pub(super) fn echo_id(response: Response, head: &RequestHead) -> Response {
@@ -154,8 +155,7 @@
         hint: Option<Millis>,
         left: Option<Millis>,
     ) -> Response {
-        let told = head.headers.text(headers::DEADLINE_MS).and_then(|t| t.trim().parse().ok());
-        let left = left.or(told.map(Millis)).unwrap_or(Millis(1_000));
+        let left = left.or_else(|| patience(&head.headers)).unwrap_or(Millis(1_000));
         let most = left.0 as f64 * RETRY_AFTER_SHARE;
         let wait = hint.unwrap_or(DEFAULT_RETRY_AFTER).0.max(20) as f64;
         let wait = (wait * (0.75 + 0.75 * self.random())).min(most);
--- a/crates/ibisroute/src/mesh/run.rs
+++ b/crates/ibisroute/src/mesh/run.rs
@@ -21,6 +21,7 @@
 use super::decision_log::DecisionLog;
 use super::decision_log::Stream;
 use super::frames::NodeCard;
+use super::graceful_stop::GracefulStop;
 use super::http_server;
 use super::link;
 use super::listeners::Heartbeats;
@@ -41,11 +42,9 @@
 /// two failed readiness checks, one a second.
 const ANNOUNCE: Duration = Duration::from_millis(2_600);
 
-/// Time before the end of the grace period from which new requests are refused.
-const REFUSE_BEFORE: Duration = Duration::from_millis(1_700);
-
-/// Time before the end of the grace period at which the process ends in any case.
-const END_BEFORE: Duration = Duration::from_millis(300);
+/// Time without a request after which a stopping node takes its callers to have left. The platform keeps
+/// sending callers to nodes that are not ready while too few others of their data centre are.
+const CALLERS_GONE: Millis = Millis(500);
 
 /// Time in which a stopping node that has become idle still answers, with refusals only. A request that
 /// crosses the end is then refused and not cut.
@@ -150,29 +149,36 @@
 /// Stops gracefully: the target's part at once, callers after they were told through readiness.
 async fn stop(node: &Rc<Node>, grace: Duration) {
     let began = Instant::now();
+    let requests = node.requests.get();
+    let stop = GracefulStop::new(node.clock.now(), grace.into());
+    node.stop.set(Some(stop));
     node.leaving.set(true);
     node.target.stop();
     node.status_changed.notify_one();
     let fields = [("in_flight", node.in_flight.get().into())];
     node.log.line(node.clock.now(), Stream::Other, &codes::STOPPING, &fields);
     let announced = began + ANNOUNCE.min(grace / 2);
-    let refuse = began + grace.saturating_sub(REFUSE_BEFORE);
-    let end = began + grace.saturating_sub(END_BEFORE);
     sleep_until(announced).await;
-    let is_idle = || node.in_flight.get() == 0 && node.target.calls() == 0;
+    let is_idle = || {
+        let callers_gone = node.clock.now().since(node.last_request.get()) >= CALLERS_GONE;
+        callers_gone && node.in_flight.get() == 0 && node.target.calls() == 0
+    };
     let mut idle_until = None;
-    while Instant::now() < end {
+    while node.clock.now() < stop.end() {
         let now = Instant::now();
-        node.refusing.set(now >= refuse || idle_until.is_some() || is_idle());
         if !is_idle() {
             idle_until = None;
         } else if now >= *idle_until.get_or_insert(now + LAST_REFUSALS) {
             break;
         }
+        node.refusing.set(idle_until.is_some());
         sleep(IDLE_CHECK).await;
     }
-    let fields =
-        [("cut_requests", node.in_flight.get().into()), ("cut_calls", node.target.calls().into())];
+    let fields = [
+        ("cut_requests", node.in_flight.get().into()),
+        ("cut_calls", node.target.calls().into()),
+        ("requests_since_stop", (node.requests.get() - requests).into()),
+    ];
     node.log.line(node.clock.now(), Stream::Other, &codes::STOPPED, &fields);
     node.log.stop();
 }
--- a/crates/ibisroute/tests/mesh_fleet.rs
+++ b/crates/ibisroute/tests/mesh_fleet.rs
@@ -22,6 +22,9 @@
 /// What callers wait.
 const PATIENCE: Duration = Duration::from_millis(1_200);
 
+/// What callers with a long way wait.
+const LONG_PATIENCE: Duration = Duration::from_secs(4);
+
 /// Bound of the users for a configuration, a drain and a roll-back.
 const APPLY: Duration = Duration::from_secs(2);
 
@@ -275,6 +278,55 @@
     assert_eq!(code, Some(0));
 }
 
+/// Guards against a node that ends in the middle of its grace period although callers are still sent to
+/// it, because too few nodes beside it are ready.
+#[test]
+fn stop_serves_who_comes() {
+    let (fleet, _folder) = fleet("comes", 2);
+    fleet.signal(0, "TERM").expect("SIGTERM");
+    let signalled = Instant::now();
+    let mut n = 0;
+    // The grace period is 6 s; a request of these callers is over after 1.2 s.
+    while signalled.elapsed() < Duration::from_millis(4_000) {
+        n += 1;
+        let id = format!("comes-{n}");
+        let status = fleet.nodes[0].request("GET", READ_PATH, &id, PATIENCE).map(|r| r.status);
+        assert_eq!(status, Some(200), "{id} after {:?}", signalled.elapsed());
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
+/// Guards against a request that a stopping node takes although its end comes before the deadline, so
+/// that it can be cut.
+#[test]
+fn stop_refuses_long_requests() {
+    let (mut fleet, _folder) = fleet("long-stop", 2);
+    fleet.configure(LONG_PATIENCE.as_millis() as u64);
+    let version = format!("\"version\":{}", fleet.config_version());
+    wait::until_true("the configuration in force", APPLY, || {
+        fleet.nodes[0].log().iter().any(|l| l.contains(&version))
+    })
+    .expect("in force");
+    fleet.signal(0, "TERM").expect("SIGTERM");
+    let signalled = Instant::now();
+    let mut n = 0;
+    let mut status = |patience| {
+        n += 1;
+        let response =
+            fleet.nodes[0].request("GET", READ_PATH, &format!("long-stop-{n}"), patience);
+        response.map(|r| r.status)
+    };
+    while signalled.elapsed() < Duration::from_millis(2_800) {
+        assert_eq!(status(LONG_PATIENCE), Some(200), "in the first half of the grace period");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    while signalled.elapsed() < Duration::from_millis(3_200) {
+        assert_eq!(status(PATIENCE), Some(200), "it ends in time");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(status(LONG_PATIENCE), Some(503));
+}
+
 /// Guards against a killed node that does not come back, or forgets the configuration.
 #[test]
 fn killed_node_returns() {
