Read a long row once, however many peers tell of it

Cause: each peer whose status told of newer rows was asked for them, and each answer 'too long' woke the reader of the store again. Peers are not asked while a read runs, and a reader that is woken reads only if a peer has told of a row that is missing.

Ruled out: bytes of the peers' statuses, 5 KB/s for each node.

--- a/crates/ibisroute/src/mesh/node.rs
+++ b/crates/ibisroute/src/mesh/node.rs
@@ -143,6 +143,10 @@
     bodies: Arc<Semaphore>,
     /// Wakes the reader of the store: rows there are newer, and too long to come from a peer.
     pub read_again: Notify,
+    /// Highest version of the rows that peers know.
+    pub newest_told: Cell<RowVersion>,
+    /// Whether rows are being read from the store; peers are not asked for them meanwhile.
+    pub reading: Cell<bool>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     budget: Cell<BudgetSettings>,
     patience: RefCell<HashMap<SmolStr, Millis>>,
@@ -195,6 +199,8 @@
             held_bytes: Cell::new(0),
             bodies: Arc::new(Semaphore::new(cfg.link.bodies())),
             read_again: Notify::new(),
+            newest_told: Cell::new(RowVersion(0)),
+            reading: Cell::new(false),
             budgets: RefCell::default(),
             budget: Cell::new(cfg.bounds.budget()),
             patience: RefCell::default(),
@@ -409,6 +415,9 @@
 
     fn ask_for_rows(&self, reply: &Outbox) {
         let now = self.clock.now();
+        if self.reading.get() {
+            return;
+        }
         if self.asked.get().is_some_and(|at| now.since(at) < ASK_INTERVAL) {
             return;
         }
@@ -455,6 +464,7 @@
             Frame::Status(status) => {
                 reply.send(&Frame::StatusSeen);
                 let newer = status.newest > self.facts.borrow().newest();
+                self.newest_told.set(self.newest_told.get().max(status.newest));
                 self.hear_of_moves(&status.order_ages, &status.withdrawn);
                 self.trim();
                 self.picker.borrow_mut().reported(from);
--- a/crates/ibisroute/src/mesh/store_watch.rs
+++ b/crates/ibisroute/src/mesh/store_watch.rs
@@ -75,12 +75,7 @@
             } else {
                 // Nodes that are told of a long row at the same time do not read it at the same time.
                 sleep(self.scatter(READ_SPREAD).to_duration()).await;
-                let newest = self.facts.borrow().newest();
-                match newest {
-                    RowVersion(0) => self.read_facts().await,
-                    // Status rows are short and come from peers.
-                    _ => self.read_operator().await,
-                }
+                self.read_once().await
             };
             match step {
                 Ok(()) => pause = RETRY_FIRST,
@@ -143,6 +138,23 @@
         }
     }
 
+    /// Reads the rows that are missing here. Several peers may have told of the same ones, and a read of
+    /// a long row over a slow link takes longer than it takes them.
+    async fn read_once(self: &Rc<Self>) -> Result<(), PlatformError> {
+        let newest = self.facts.borrow().newest();
+        if newest > RowVersion(0) && newest >= self.newest_told.get() && !self.is_reader() {
+            return Ok(());
+        }
+        self.reading.set(true);
+        let read = match newest {
+            RowVersion(0) => self.read_facts().await,
+            // Status rows are short and come from peers.
+            _ => self.read_operator().await,
+        };
+        self.reading.set(false);
+        read
+    }
+
     /// Reads the status and the operator's table.
     async fn read_facts(self: &Rc<Self>) -> Result<(), PlatformError> {
         let table = Source::Status.table();
--- a/crates/ibisroute/tests/mesh_fleet.rs
+++ b/crates/ibisroute/tests/mesh_fleet.rs
@@ -31,6 +31,9 @@
 /// Time in which something that needs no network is to be seen.
 const SOON: Duration = Duration::from_secs(3);
 
+/// Time in which each node has told the others of its target; statuses are 500 ms apart.
+const STATUSES: Duration = Duration::from_secs(1);
+
 struct Folder(PathBuf);
 
 impl Drop for Folder {
@@ -156,6 +159,33 @@
     }
 }
 
+/// Guards against a node that reads a long row again for each peer that tells of it, which fills a slow
+/// link for seconds.
+#[test]
+fn long_rows_are_read_once() {
+    let (mut fleet, _folder) = fleet("once", 5);
+    // The first nodes by name watch the store; this one reads when it is told.
+    let reader = 4;
+    fleet.nodes[reader].store_relay.change_rules(|r| r.latency_ms = (300, 300));
+    let received = |fleet: &MeshFleet| {
+        let name = "ibis_platform_bytes_total{direction=\"received\"}";
+        fleet.nodes[reader].metric(name).unwrap_or(0.0)
+    };
+    let before = received(&fleet);
+    fleet.configure_long(1_500, 3_200);
+    let newest = fleet.config_version() as f64;
+    wait::until_true("the node to apply the change", APPLY * 2, || {
+        fleet.nodes[reader].metric("ibis_config_version") == Some(newest)
+    })
+    .expect("in force in time");
+    // Statuses of all peers arrive meanwhile.
+    std::thread::sleep(Duration::from_millis(1_500));
+    let row = fleet.store.text("op", "config").expect("the row").len() as f64;
+    let read = received(&fleet) - before;
+    // Values travel in base64, four bytes for three.
+    assert!(read < row * 1.5, "{read} bytes were read for a row of {row}");
+}
+
 /// Guards against long bodies that are cut, mixed or lost when many cross between nodes at a time.
 #[test]
 fn uploads_arrive_whole() {
@@ -283,6 +313,7 @@
 #[test]
 fn stop_serves_who_comes() {
     let (fleet, _folder) = fleet("comes", 2);
+    std::thread::sleep(STATUSES);
     fleet.signal(0, "TERM").expect("SIGTERM");
     let signalled = Instant::now();
     let mut n = 0;
@@ -307,6 +338,7 @@
         fleet.nodes[0].log().iter().any(|l| l.contains(&version))
     })
     .expect("in force");
+    std::thread::sleep(STATUSES);
     fleet.signal(0, "TERM").expect("SIGTERM");
     let signalled = Instant::now();
     let mut n = 0;
