Compare two targets for a request, sound ones first

Cause: reported loads are up to a second old on 81 nodes, and each node compared 12 targets by them. Two targets are compared now, one of the own data centre and one of the others. Targets that fail, or have just refused a connection, are drawn only when there are too few others.

--- a/crates/ibisroute/src/mesh/picker.rs
+++ b/crates/ibisroute/src/mesh/picker.rs
@@ -26,8 +26,11 @@
     pub failure_cost: f64,
     /// Multiple of the service time while a target is slow from its start.
     pub cold_factor: f64,
-    /// Targets compared for a request when a service has more.
+    /// Targets compared for a request when a service has more, half of them in the own data centre. Few,
+    /// because reported loads are up to a second old: all nodes would send to the same free targets.
     pub compared: usize,
+    /// Failing share from which a target is compared only when there are too few others.
+    pub failing_last: f32,
     /// Time for which a target that refused or failed a connection is avoided.
     pub avoid: Millis,
     /// Extra cost, as a multiple of the service time, of a target whose slots are all in use.
@@ -49,7 +52,8 @@
             cross_cost_share: 0.5,
             failure_cost: 2.0,
             cold_factor: 2.0,
-            compared: 12,
+            compared: 2,
+            failing_last: 0.5,
             avoid: Millis(300),
             busy_cost: 0.5,
             unknown_service: Millis(100),
@@ -111,19 +115,7 @@
 
     /// Chooses a target; `None` when there is no candidate.
     pub fn choose(&mut self, ask: Ask, candidates: &[Candidate]) -> Option<NodeId> {
-        let mut picked: Vec<usize> = (0..candidates.len()).collect();
-        if candidates.len() > self.cfg.compared {
-            // Targets of the own data centre first, the rest at random.
-            for i in (1..picked.len()).rev() {
-                picked.swap(i, self.rng.random_range(0..=i));
-            }
-            picked.sort_by_key(|i| !candidates[*i].near);
-            let near = picked.iter().take_while(|i| candidates[**i].near).count();
-            let kept = near.min(self.cfg.compared / 2);
-            let far = picked[near..].to_vec();
-            picked.truncate(kept);
-            picked.extend(far.into_iter().take(self.cfg.compared - kept));
-        }
+        let picked = self.sample(ask.now, candidates);
         let usual = usual_service(candidates).unwrap_or(self.cfg.unknown_service.0 as f64);
         picked
             .into_iter()
@@ -135,6 +127,32 @@
             .map(|(_, i)| candidates[i].node.clone())
     }
 
+    /// Indices of the targets that are compared: drawn from the sound ones of the own data centre and of
+    /// the others by halves, and from the rest when these are too few.
+    fn sample(&mut self, now: Millis, candidates: &[Candidate]) -> Vec<usize> {
+        let mut all: Vec<usize> = (0..candidates.len()).collect();
+        let compared = self.cfg.compared;
+        if all.len() <= compared {
+            return all;
+        }
+        for i in (1..all.len()).rev() {
+            all.swap(i, self.rng.random_range(0..=i));
+        }
+        let is_sound = |i: &usize| {
+            let candidate = &candidates[*i];
+            let seen = self.seen.get(&candidate.node);
+            candidate.load.failing < self.cfg.failing_last
+                && seen.is_none_or(|s| now >= s.avoid_until)
+        };
+        let (sound, rest): (Vec<usize>, Vec<usize>) = all.into_iter().partition(is_sound);
+        let (near, far): (Vec<usize>, Vec<usize>) =
+            sound.into_iter().partition(|i| candidates[*i].near);
+        let from_far = far.len().min(compared - near.len().min(compared.div_ceil(2)));
+        let from_near = near.len().min(compared - from_far);
+        let sound = near.into_iter().take(from_near).chain(far.into_iter().take(from_far));
+        sound.chain(rest).take(compared).collect()
+    }
+
     /// Counts a request that goes to a target.
     pub fn sent(&mut self, node: &NodeId) {
         let seen = self.seen.entry(node.clone()).or_default();
--- a/crates/ibisroute/tests/target_choice.rs
+++ b/crates/ibisroute/tests/target_choice.rs
@@ -115,3 +115,40 @@
     picker.restarted(&node("joined"));
     assert_eq!(picker.choose(ask(0), &all), Some(node("joined")));
 }
+
+/// Guards against a herd on a large service: reports are a second old, so that the nodes choose without
+/// knowing of each other's choices and send them all to the few targets that are fast and look free.
+#[test]
+fn stale_loads_spread() {
+    let fast = |n: usize| if n < 6 { 80.0 } else { 120.0 };
+    let mut counts = std::collections::BTreeMap::new();
+    for caller in 0..120 {
+        // Callers and targets are spread over three data centres.
+        let candidates: Vec<Candidate> = (0..60)
+            .map(|n| candidate(&format!("t{n}"), n % 3 == caller as usize % 3, load(0, 0, fast(n))))
+            .collect();
+        let rng = SmallRng::seed_from_u64(caller);
+        let chosen = Picker::new(PickerSettings::default(), rng).choose(ask(0), &candidates);
+        *counts.entry(chosen.expect("a target")).or_insert(0) += 1;
+    }
+    let most = counts.values().max().copied().unwrap_or(0);
+    assert!(most <= 9, "one target of 60 with 9 slots got {most} of 120 requests");
+}
+
+/// Guards against a comparison among failing targets only while sound ones are left out of it.
+#[test]
+fn failing_are_not_drawn() {
+    let candidates: Vec<Candidate> = (0..20)
+        .map(|n| {
+            let failing = if n % 2 == 0 { 0.9 } else { 0.0 };
+            candidate(&format!("t{n}"), n < 10, Load { failing, ..load(0, 0, 100.0) })
+        })
+        .collect();
+    let mut picker = picker();
+    picker.avoid(Millis(1_000), &node("t1"));
+    for _ in 0..300 {
+        let chosen = picker.choose(ask(0), &candidates).expect("a target");
+        let number: usize = chosen.as_str()[1..].parse().expect("a number");
+        assert!(number % 2 == 1 && number != 1, "{chosen} was chosen");
+    }
+}
