Keep no buffers for idle connections between nodes

Cause: a node has two connections for each peer, and each reader kept 2 KB while it waited. A reader without a partial frame now waits for bytes before it allocates.

--- a/crates/ibisroute/src/mesh/link.rs
+++ b/crates/ibisroute/src/mesh/link.rs
@@ -233,9 +233,10 @@
                 Ok(None) => {}
                 Err(_) => return Err(io::ErrorKind::InvalidData.into()),
             }
-            if self.buf.is_empty() && self.buf.capacity() > 2 * BUFFER_BYTES {
-                // A node has two connections for each peer; idle ones do not keep long buffers.
+            if self.buf.is_empty() {
+                // A node has two connections for each peer; idle ones keep no buffers.
                 self.buf = BytesMut::new();
+                self.stream.readable().await?;
             }
             let long = self.buf.len() > BUFFER_BYTES;
             self.buf.reserve(if long { LONG_READ_BYTES } else { BUFFER_BYTES });
