Parse configurations and rows without copies of their text

Cause: each entry of a configuration was parsed into a tree of values first, and the base64 text of each row was copied out of the answer. For 2,400 routes that is several megabytes at the peak on every host. Entries are parsed from the text by their type, and rows borrow it. A member that stands twice in an entry is now refused as malformed; before, the last one held.

--- a/crates/ibisroute/src/platform/operator.rs
+++ b/crates/ibisroute/src/platform/operator.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_json::value::RawValue;
 use smol_str::SmolStr;
 
 use crate::mesh::rollout::Order;
@@ -59,18 +60,21 @@
 }
 
 #[derive(Deserialize)]
-struct ConfigWire {
+struct ConfigWire<'a> {
     version: u64,
-    resources: Vec<ResourceWire>,
+    #[serde(borrow)]
+    resources: Vec<ResourceWire<'a>>,
 }
 
 /// One entry of the list that holds everything the operator configures.
 #[derive(Deserialize)]
-struct ResourceWire {
+struct ResourceWire<'a> {
     resource_type: SmolStr,
     #[serde(default)]
     metadata: MetadataWire,
-    spec: serde_json::Value,
+    /// Parsed by the type; a tree of values for thousands of routes would take megabytes.
+    #[serde(borrow)]
+    spec: &'a RawValue,
 }
 
 #[derive(Default, Deserialize)]
@@ -196,16 +200,18 @@
         let name = resource.metadata.name;
         match resource.resource_type.as_str() {
             "routes" => {
-                let wire = serde_json::from_value(resource.spec).map_err(malformed)?;
+                let wire = serde_json::from_str(resource.spec.get()).map_err(malformed)?;
                 routes.push(route(&name, wire)?);
             }
             "services" => {
-                let wire: ServiceWire = serde_json::from_value(resource.spec).map_err(malformed)?;
+                let wire: ServiceWire =
+                    serde_json::from_str(resource.spec.get()).map_err(malformed)?;
                 let name = name.try_into().map_err(RowError::Name)?;
                 services.insert(name, wire.max_connections);
             }
             "limits" => {
-                let wire: LimitsWire = serde_json::from_value(resource.spec).map_err(malformed)?;
+                let wire: LimitsWire =
+                    serde_json::from_str(resource.spec.get()).map_err(malformed)?;
                 limits = wire.into();
             }
             // Later kinds of entries do not change what this version of the program serves.
--- a/crates/ibisroute/src/platform/rows.rs
+++ b/crates/ibisroute/src/platform/rows.rs
@@ -1,5 +1,7 @@
 //! Calls of the users' metadata store: rows in tables, written under conditions and watched.
 
+use std::borrow::Cow;
+
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use futures_util::FutureExt;
@@ -60,10 +62,11 @@
 }
 
 #[derive(Deserialize)]
-struct RowWire {
+struct RowWire<'a> {
     key: SmolStr,
-    #[serde(default)]
-    value: String,
+    /// Borrowed from the answer: a configuration can take a megabyte.
+    #[serde(borrow, default)]
+    value: Cow<'a, str>,
     #[serde(default)]
     resource_version: u64,
     /// Set when the row was removed.
@@ -72,9 +75,9 @@
 }
 
 #[derive(Deserialize)]
-struct PageWire {
-    #[serde(default)]
-    rows: Vec<RowWire>,
+struct PageWire<'a> {
+    #[serde(borrow, default)]
+    rows: Vec<RowWire<'a>>,
     #[serde(default)]
     has_more: bool,
     /// Newest version of the whole store, not of a row.
@@ -82,11 +85,12 @@
     resource_version: u64,
 }
 
-impl TryFrom<RowWire> for RowChange {
+impl TryFrom<RowWire<'_>> for RowChange {
     type Error = String;
 
-    fn try_from(wire: RowWire) -> Result<Self, String> {
-        let value = STANDARD.decode(&wire.value).map_err(|e| format!("row {}: {e}", wire.key))?;
+    fn try_from(wire: RowWire<'_>) -> Result<Self, String> {
+        let value =
+            STANDARD.decode(wire.value.as_bytes()).map_err(|e| format!("row {}: {e}", wire.key))?;
         Ok(Self {
             key: wire.key,
             version: RowVersion(wire.resource_version),
@@ -95,10 +99,10 @@
     }
 }
 
-impl TryFrom<PageWire> for ReadPage {
+impl TryFrom<PageWire<'_>> for ReadPage {
     type Error = String;
 
-    fn try_from(wire: PageWire) -> Result<Self, String> {
+    fn try_from(wire: PageWire<'_>) -> Result<Self, String> {
         let rows: Result<Vec<RowChange>, String> =
             wire.rows.into_iter().map(RowChange::try_from).collect();
         Ok(Self { rows: rows?, more: wire.has_more, version: RowVersion(wire.resource_version) })
@@ -136,7 +140,7 @@
 
 /// Decodes the answer of a read or a watch.
 pub fn decode_page(body: &[u8]) -> Result<ReadPage, String> {
-    serde_json::from_slice::<PageWire>(body).map_err(|e| e.to_string())?.try_into()
+    serde_json::from_slice::<PageWire<'_>>(body).map_err(|e| e.to_string())?.try_into()
 }
 
 /// Decodes the answer of a write by its status: 200 or 412.
