--- a/crates/ibisroute/tests/mesh_fleet.rs
+++ b/crates/ibisroute/tests/mesh_fleet.rs
@@ -1,5 +1,7 @@
 //! The whole path with real node processes beside instances, on stand-ins of the users' platform.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -7,6 +9,7 @@
 
 use serde_json::Value;
 use standins::http::Response;
+use standins::mesh::fleet::HOST;
 use standins::mesh::fleet::MeshFleet;
 use standins::mesh::fleet::MeshNode;
 use standins::mesh::fleet::ORDER_PATH;
@@ -31,6 +34,9 @@
 /// Time in which something that needs no network is to be seen.
 const SOON: Duration = Duration::from_secs(3);
 
+/// Time after which nothing may happen for a caller that has left, by the users' page.
+const LEFT_BOUND: Duration = Duration::from_millis(500);
+
 /// Time in which each node has told the others of its target; statuses are 500 ms apart.
 const STATUSES: Duration = Duration::from_secs(1);
 
@@ -258,6 +264,51 @@
     assert!(served >= 57, "{served} of 60 served");
 }
 
+/// Sends a request of a caller that does not wait for the answer.
+fn send_only(node: &MeshNode, id: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(node.callers).expect("the node accepts");
+    let head = format!(
+        "GET {READ_PATH} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 1400\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("the request is sent");
+    stream
+}
+
+/// Guards against slots that stay taken by callers who have left, and against requests that still reach
+/// an instance after their callers have gone.
+#[test]
+fn callers_that_leave() {
+    let (fleet, _folder) = fleet("leave", 2);
+    fleet.instances.iter().for_each(|i| i.behave(Behaviour::Silent));
+    let slots: u32 = fleet.instances.iter().map(|i| i.options().slots).sum();
+    let send = |name: &str, count: u32| -> Vec<TcpStream> {
+        (0..count)
+            .map(|n| send_only(&fleet.nodes[n as usize % 2], &format!("{name}-{n}")))
+            .collect()
+    };
+    let running = send("running", slots);
+    let all_run = || (0..slots).all(|n| fleet.runs_of(&format!("running-{n}")) > 0);
+    wait::until_true("all slots to be taken", Duration::from_millis(500), all_run).expect("taken");
+    let waiting = send("waiting", slots);
+    std::thread::sleep(Duration::from_millis(100));
+    drop((running, waiting));
+    let left = Instant::now();
+    fleet.instances.iter().for_each(|i| i.behave(Behaviour::Sound));
+    // The users allow half a second; the calls themselves would last 1.4 s.
+    wait::until_true("a slot to be free", LEFT_BOUND, || {
+        let after = fleet.nodes[0].request("GET", READ_PATH, "after", PATIENCE);
+        after.is_some_and(|r| r.status == 200)
+    })
+    .expect("free in time");
+    std::thread::sleep(PATIENCE);
+    let ran = fleet.instances.iter().flat_map(|i| i.ran());
+    let late: Vec<Duration> = ran
+        .filter(|r| r.request_id.starts_with("waiting") && r.at > left + LEFT_BOUND)
+        .map(|r| r.at - left)
+        .collect();
+    assert!(late.is_empty(), "requests reached an instance {late:?} after their callers had left");
+}
+
 /// Guards against requests to an instance after its leaving was acknowledged, and against one that comes
 /// back by a late heartbeat.
 #[test]
