--- a/review/lib/meshkit.py
+++ b/review/lib/meshkit.py
@@ -579,8 +579,15 @@
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line("case", trouble=trouble)
-    result = 2
-    mesh = None
+    result, mesh = 2, None
+
+    def stopped(*_):
+        # The processes of the case end with it, also when it is stopped from outside.
+        if mesh:
+            mesh.stop()
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, stopped)
     try:
         if not os.path.exists(os.path.join(ROOT, NODE_PROGRAM)):
             raise RuntimeError(f"{NODE_PROGRAM} is missing: build it with the command of the deploy file")
