--- a/review/lib/meshkit.py
+++ b/review/lib/meshkit.py
@@ -393,7 +393,8 @@
         try:
             with open(f"/proc/{self.process.pid}/statm") as f:
                 return int(f.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / (1 << 20)
-        except (OSError, IndexError, ValueError):
+        except (AttributeError, OSError, IndexError, ValueError):
+            # The process is being started again.
             return 0.0
 
     async def ready(self):
@@ -588,6 +589,8 @@
         os._exit(2)
 
     signal.signal(signal.SIGTERM, stopped)
+    signal.signal(signal.SIGALRM, stopped)
+    signal.alarm(117)
     try:
         if not os.path.exists(os.path.join(ROOT, NODE_PROGRAM)):
             raise RuntimeError(f"{NODE_PROGRAM} is missing: build it with the command of the deploy file")
@@ -595,7 +598,8 @@
 
         async def bounded():
             return await asyncio.wait_for(main(mesh, record, trouble), 112)
-        broken, text = asyncio.run(bounded())
+        # The other tasks aren't waited for: the process ends.
+        broken, text = asyncio.new_event_loop().run_until_complete(bounded())
         result = 1 if broken else 0
     except Exception as e:  # the case could not run
         text = f"could not run: {e!r}"
