Bound the memory of the responses of a target

Cause: each response may take 64 MB, for each slot of the target at once, and no budget covers the responses together.

Change: the responses share a budget of memory.responses_share. A response grows while it takes at most half of what the others leave free, so that endless ones always leave room. The budget holds a body until it has been sent on. BodyBudget becomes ByteBudget and serves both directions.

--- a/crates/ibisroute/src/mesh/http_server.rs
+++ b/crates/ibisroute/src/mesh/http_server.rs
@@ -17,6 +17,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use super::byte_budget::ByteBudget;
+use super::byte_budget::ByteReservation;
 use super::http1;
 use super::http1::BodyReader;
 use super::http1::Framing;
@@ -75,52 +77,6 @@
     }
 }
 
-/// Limit on the total size of the request bodies in memory, those that are arriving included.
-#[derive(Debug)]
-pub struct BodyBudget {
-    held_bytes: Cell<usize>,
-    max_bytes: usize,
-}
-
-impl BodyBudget {
-    /// Creates a budget of `max_bytes`.
-    pub fn new(max_bytes: usize) -> Self {
-        Self { held_bytes: Cell::new(0), max_bytes }
-    }
-}
-
-/// Bytes of a [`BodyBudget`] that one body takes until this is dropped; without a budget, any number.
-struct BodyReservation<'a> {
-    budget: Option<&'a BodyBudget>,
-    bytes: usize,
-}
-
-impl<'a> BodyReservation<'a> {
-    fn new(budget: Option<&'a BodyBudget>) -> Self {
-        Self { budget, bytes: 0 }
-    }
-
-    /// Raises the reservation to `bytes` if it is lower. Returns whether the budget permits it.
-    fn grow_to(&mut self, bytes: usize) -> bool {
-        let Some(budget) = self.budget else { return true };
-        let more_bytes = bytes.saturating_sub(self.bytes);
-        if budget.held_bytes.get() + more_bytes > budget.max_bytes {
-            return more_bytes == 0;
-        }
-        budget.held_bytes.set(budget.held_bytes.get() + more_bytes);
-        self.bytes += more_bytes;
-        true
-    }
-}
-
-impl Drop for BodyReservation<'_> {
-    fn drop(&mut self) {
-        if let Some(budget) = self.budget {
-            budget.held_bytes.set(budget.held_bytes.get() - self.bytes);
-        }
-    }
-}
-
 /// Serves the requests of a listener.
 pub trait Handler {
     /// Returns the size limits and timeouts for the requests of callers.
@@ -140,7 +96,7 @@
     fn on_caller_closed(&self) {}
 
     /// Returns the budget of the bodies in memory; `None` when they are not limited together.
-    fn body_budget(&self) -> Option<&BodyBudget> {
+    fn body_budget(&self) -> Option<&ByteBudget> {
         None
     }
 
@@ -239,7 +195,7 @@
                 return self.refuse(response).await;
             }
             let _open_request = OpenRequest::new(handler.open_requests());
-            let mut reservation = BodyReservation::new(handler.body_budget());
+            let mut reservation = handler.body_budget().map(ByteBudget::reservation);
             let refuse_body = || handler.refuse_body(&head);
             let read = self.read_body(&head, &limits, &mut reservation, refuse_body);
             let read = match handler.body_timeout(&head) {
@@ -315,7 +271,7 @@
         &mut self,
         head: &RequestHead,
         limits: &ClientLimits,
-        reservation: &mut BodyReservation<'_>,
+        reservation: &mut Option<ByteReservation>,
         refuse_body: impl FnOnce() -> Response,
     ) -> io::Result<Result<Bytes, Response>> {
         let refusal_of = |e: HttpError| match e {
@@ -330,7 +286,8 @@
             Framing::Length(n) => n as usize,
             _ => 0,
         };
-        if !reservation.grow_to(declared_bytes) {
+        let mut has_room = |bytes| reservation.as_mut().is_none_or(|r| r.grow_to(bytes));
+        if !has_room(declared_bytes) {
             return Ok(Err(refuse_body()));
         }
         if head.headers.has_token("expect", "100-continue") && head.framing != Framing::Empty {
@@ -342,7 +299,7 @@
                 Ok(false) => {}
                 Err(e) => return Ok(Err(refusal_of(e))),
             }
-            if !reservation.grow_to(body.len()) {
+            if !has_room(body.len()) {
                 return Ok(Err(refuse_body()));
             }
             self.buf.reserve(if body.is_empty() { BUFFER_BYTES } else { READ_BYTES });
--- a/crates/ibisroute/src/mesh/local_target.rs
+++ b/crates/ibisroute/src/mesh/local_target.rs
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use super::byte_budget::ByteBudget;
 use super::evidence::Evidence;
 use super::evidence::EvidenceLog;
 use super::frames::Failure;
@@ -33,6 +34,7 @@
 use super::slot_queue::SlotQueue;
 use super::slot_queue::Ticket;
 use super::target_conn::ExchangeError;
+use super::target_conn::RequestMessage;
 use super::target_conn::TargetConn;
 use super::target_conn::TargetResponse;
 use super::target_health::HealthSettings;
@@ -76,6 +78,8 @@
     health: HealthSettings,
     /// Age up to which responses count as recent evidence.
     recent_evidence: Millis,
+    /// Limit on the responses in memory, from their first byte to the last byte sent on.
+    response_budget: ByteBudget,
     state: RefCell<TargetState>,
     /// Wakes [`LocalTarget::watch_queue`] when a call was queued.
     queue_changed: Notify,
@@ -121,6 +125,7 @@
         queue: QueueSettings,
         health: HealthSettings,
         recent_evidence: Millis,
+        response_budget: ByteBudget,
     ) -> Rc<Self> {
         let state = TargetState {
             instance: LocalInstance::default(),
@@ -136,6 +141,7 @@
             clock,
             health,
             recent_evidence,
+            response_budget,
             state: RefCell::new(state),
             queue_changed: Notify::new(),
             open_calls: Cell::new(0),
@@ -351,7 +357,13 @@
         let request = encode_request_head(head, time_left, body.len());
         let written = Cell::new(false);
         let exchange = {
-            let exchange = conn.exchange(&head.method, &head.request_id, &request, &body, &written);
+            let message = RequestMessage {
+                method: &head.method,
+                request_id: &head.request_id,
+                head: &request,
+                body: &body,
+            };
+            let exchange = conn.exchange(message, &self.response_budget, &written);
             let exchange = std::pin::pin!(exchange);
             timeout(time_left.to_duration(), exchange).await
         };
@@ -375,7 +387,8 @@
                 self.record_evidence(head, false, slot_time);
                 Outcome::Failed(Failure::Broken)
             }
-            Ok(Err(ExchangeError::BadAnswer(_))) => {
+            Ok(Err(ExchangeError::BadAnswer(reason))) => {
+                metrics::counter!("ibis_bad_answers_total", "reason" => reason).increment(1);
                 self.record_outcome(TargetOutcome::Failed);
                 self.record_evidence(head, false, slot_time);
                 Outcome::Failed(Failure::BadAnswer)
--- a/crates/ibisroute/src/mesh/mesh_settings.rs
+++ b/crates/ibisroute/src/mesh/mesh_settings.rs
@@ -127,18 +127,30 @@
     /// Share of `limit_mb` for request bodies, 0.0 to 1.0; requests whose bodies would exceed it are
     /// refused.
     pub bodies_share: f64,
+    /// Share of `limit_mb` for the responses that arrive from the target, 0.0 to 1.0; a response that
+    /// would take more than half of what is left counts as failed.
+    pub responses_share: f64,
 }
 
 impl MemorySettings {
     /// Returns the maximum total size of the callers' request bodies in memory, in bytes.
     pub fn max_body_bytes(&self) -> usize {
-        (self.limit_mb as f64 * 1024.0 * 1024.0 * self.bodies_share) as usize
+        self.share_bytes(self.bodies_share)
+    }
+
+    /// Returns the maximum total size of the target's responses in memory, in bytes.
+    pub fn max_response_bytes(&self) -> usize {
+        self.share_bytes(self.responses_share)
+    }
+
+    fn share_bytes(&self, share: f64) -> usize {
+        (self.limit_mb as f64 * 1024.0 * 1024.0 * share) as usize
     }
 }
 
 impl Default for MemorySettings {
     fn default() -> Self {
-        Self { limit_mb: 128, bodies_share: 0.4 }
+        Self { limit_mb: 128, bodies_share: 0.4, responses_share: 0.2 }
     }
 }
 
@@ -255,6 +267,7 @@
             (self.bounds.retry_window_s, "bounds.retry_window_s"),
             (self.bounds.grace_s, "bounds.grace_s"),
             (self.memory.bodies_share, "memory.bodies_share"),
+            (self.memory.responses_share, "memory.responses_share"),
             (self.link.mbps, "link.mbps"),
             (self.link.mbps_per_body, "link.mbps_per_body"),
             (self.queue.estimate_weight, "queue.estimate_weight"),
@@ -270,6 +283,11 @@
             require(value >= 0.0 && value.is_finite(), path, "must not be below 0")?;
         }
         require(self.memory.limit_mb >= 16, "memory.limit_mb", "must be at least 16")?;
+        require(
+            self.memory.bodies_share + self.memory.responses_share <= 1.0,
+            "memory.responses_share",
+            "must leave room for memory.bodies_share",
+        )?;
         require(self.picker.compared >= 2, "picker.compared", "must be at least 2")?;
         require(self.peers.readers >= 1, "peers.readers", "must be at least 1")?;
         require(
--- a/crates/ibisroute/src/mesh/mod.rs
+++ b/crates/ibisroute/src/mesh/mod.rs
@@ -8,9 +8,10 @@
 //!
 //! These modules use neither I/O nor a clock: [`routes`], [`registry`], [`picker`], [`slot_queue`],
 //! [`retry_budget`], [`target_health`], [`rollout`], [`replicated_rows`], [`byte_delta`], [`http1`],
-//! [`graceful_stop`].
+//! [`graceful_stop`], [`byte_budget`].
 
 mod attempts;
+pub mod byte_budget;
 pub mod byte_delta;
 pub mod decision_log;
 pub mod dissemination;
--- a/crates/ibisroute/src/mesh/node.rs
+++ b/crates/ibisroute/src/mesh/node.rs
@@ -22,6 +22,7 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 
+use super::byte_budget::ByteBudget;
 use super::decision_log::DecisionLog;
 use super::decision_log::LineClass;
 use super::dissemination;
@@ -33,7 +34,6 @@
 use super::frames::Outcome;
 use super::frames::Status;
 use super::graceful_stop::GracefulStop;
-use super::http_server::BodyBudget;
 use super::http1::RequestHead;
 use super::link::LinkHandler;
 use super::local_target::LocalTarget;
@@ -149,7 +149,7 @@
     /// Number of requests from callers whose response is not yet written.
     pub in_flight: Cell<usize>,
     /// Limit on the callers' request bodies in memory.
-    pub body_budget: BodyBudget,
+    pub body_budget: ByteBudget,
     /// Permits to receive long bodies from peers.
     body_permits: Arc<Semaphore>,
     /// Wakes [`Node::follow_store`] when a peer has newer rows that are too long to be sent.
@@ -183,7 +183,9 @@
             address: cfg.listen.peers_told.unwrap_or(cfg.listen.peers),
             data_centre: cfg.data_centre.clone(),
         };
-        let target = LocalTarget::new(clock, cfg.queue, cfg.health, cfg.rollout.recent);
+        let response_budget = ByteBudget::new(cfg.memory.max_response_bytes());
+        let target =
+            LocalTarget::new(clock, cfg.queue, cfg.health, cfg.rollout.recent, response_budget);
         let mut rng = SmallRng::seed_from_u64(seed);
         let picker = Picker::new(cfg.picker, SmallRng::seed_from_u64(rng.random()));
         Rc::new(Self {
@@ -212,7 +214,7 @@
             request_count: Cell::new(0),
             last_request_at: Cell::new(Millis(0)),
             in_flight: Cell::new(0),
-            body_budget: BodyBudget::new(cfg.memory.max_body_bytes()),
+            body_budget: ByteBudget::new(cfg.memory.max_body_bytes()),
             body_permits: Arc::new(Semaphore::new(cfg.link.max_concurrent_bodies())),
             read_requested: Notify::new(),
             newest_reported: Cell::new(RowVersion(0)),
--- a/crates/ibisroute/src/mesh/proxy.rs
+++ b/crates/ibisroute/src/mesh/proxy.rs
@@ -7,9 +7,9 @@
 use bytes::Bytes;
 
 use super::attempts::Call;
+use super::byte_budget::ByteBudget;
 use super::frames::ForwardHead;
 use super::frames::Outcome;
-use super::http_server::BodyBudget;
 use super::http_server::Handler;
 use super::http_server::Request;
 use super::http_server::Response;
@@ -109,7 +109,7 @@
         self.node.leaving.get()
     }
 
-    fn body_budget(&self) -> Option<&BodyBudget> {
+    fn body_budget(&self) -> Option<&ByteBudget> {
         Some(&self.node.body_budget)
     }
 
--- a/crates/ibisroute/src/mesh/target_conn.rs
+++ b/crates/ibisroute/src/mesh/target_conn.rs
@@ -13,8 +13,10 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 
+use super::byte_budget::ByteBudget;
 use super::http1;
 use super::http1::BodyReader;
+use super::http1::Framing;
 use super::http1::ResponseHead;
 use super::socket;
 use crate::platform::headers;
@@ -23,9 +25,13 @@
 /// Maximum size of the head of a response, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
-/// Maximum size of a response body. Responses of the services are far smaller; the limit only bounds the
-/// memory of one request.
-const MAX_RESPONSE_BYTES: u64 = 64 * 1024 * 1024;
+/// Size in bytes up to which the body of a response takes nothing of the budget, so that short responses
+/// arrive also when long ones have used it up.
+const UNCOUNTED_BODY_BYTES: usize = 16 * 1024;
+
+/// Maximum number of responses that are skipped before the one to the request. A target sends few
+/// informational or duplicate responses; a faulty one may send them without an end.
+const MAX_SKIPPED_RESPONSES: usize = 16;
 
 /// Timeout of a new connection to the target, which runs on the same host.
 const CONNECT_TIMEOUT: Millis = Millis(400);
@@ -37,6 +43,16 @@
 /// limit, the target could close it while a request is on the way.
 const REUSE_FRACTION: f64 = 0.7;
 
+/// A request as it is sent to the target.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestMessage<'a> {
+    pub method: &'a str,
+    pub request_id: &'a str,
+    /// Encoded request line and headers.
+    pub head: &'a [u8],
+    pub body: &'a [u8],
+}
+
 /// A response of the target with its complete body.
 #[derive(Debug)]
 pub struct TargetResponse {
@@ -103,14 +119,13 @@
         matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Sends a request, whose encoded head is `request`, and reads the complete response. Sets `written`
-    /// before the first byte is sent. The connection may be reused only if the returned flag is true.
+    /// Sends a request and reads the complete response, whose body takes memory of `budget`. Sets
+    /// `written` before the first byte is sent. The connection may be reused only if the returned flag is
+    /// true.
     pub async fn exchange(
         &mut self,
-        method: &str,
-        request_id: &str,
-        request: &[u8],
-        body: &[u8],
+        request: RequestMessage<'_>,
+        budget: &ByteBudget,
         written: &Cell<bool>,
     ) -> Result<(TargetResponse, bool), ExchangeError> {
         let is_reused = std::mem::replace(&mut self.was_used, true);
@@ -118,18 +133,18 @@
         let mut sending = std::pin::pin!(async {
             written.set(true);
             // A short body is sent together with the head, in one write.
-            if body.len() <= 16 * 1024 {
-                let mut message = BytesMut::with_capacity(request.len() + body.len());
-                message.extend_from_slice(request);
-                message.extend_from_slice(body);
+            if request.body.len() <= 16 * 1024 {
+                let mut message = BytesMut::with_capacity(request.head.len() + request.body.len());
+                message.extend_from_slice(request.head);
+                message.extend_from_slice(request.body);
                 return write.write_all(&message).await;
             }
-            write.write_all(request).await?;
-            write.write_all(body).await
+            write.write_all(request.head).await?;
+            write.write_all(request.body).await
         });
         let mut sent = false;
         let response = {
-            let receiving = read_response(read, buf, method, request_id, is_reused);
+            let receiving = read_response(read, buf, request, budget, is_reused);
             let mut receiving = std::pin::pin!(receiving);
             loop {
                 tokio::select! {
@@ -166,29 +181,31 @@
 async fn read_response(
     read: &mut OwnedReadHalf,
     buf: &mut BytesMut,
-    method: &str,
-    request_id: &str,
+    request: RequestMessage<'_>,
+    budget: &ByteBudget,
     is_reused: bool,
 ) -> Result<TargetResponse, ExchangeError> {
-    loop {
-        let response = read_message(read, buf, method).await?;
+    for _ in 0..=MAX_SKIPPED_RESPONSES {
+        let response = read_message(read, buf, request.method, budget).await?;
         if matches!(response.head.status, 100..=199) {
             continue;
         }
         match response.head.headers.text(headers::REQUEST_ID) {
-            Some(id) if id == request_id => return Ok(response),
+            Some(id) if id == request.request_id => return Ok(response),
             // A duplicate response to an earlier request can arrive before the expected response.
             Some(_) => continue,
             None if !is_reused => return Ok(response),
             None => return Err(ExchangeError::BadAnswer("response without a request id")),
         }
     }
+    Err(ExchangeError::BadAnswer("responses to other requests"))
 }
 
 async fn read_message(
     read: &mut OwnedReadHalf,
     buf: &mut BytesMut,
     method: &str,
+    budget: &ByteBudget,
 ) -> Result<TargetResponse, ExchangeError> {
     let head = loop {
         match http1::parse_response(buf, method, MAX_HEAD_BYTES) {
@@ -204,8 +221,18 @@
         }
     };
     let malformed_body = |_| ExchangeError::BadAnswer("malformed body");
-    let mut body = BodyReader::new(head.framing, MAX_RESPONSE_BYTES).map_err(malformed_body)?;
+    let too_long = || ExchangeError::BadAnswer("response too long");
+    let mut reservation = budget.reservation();
+    if let Framing::Length(length) = head.framing
+        && !reservation.permits_fairly(counted_bytes(length as usize))
+    {
+        return Err(too_long());
+    }
+    let mut body = BodyReader::new(head.framing, u64::MAX).map_err(malformed_body)?;
     while !body.consume(buf).map_err(malformed_body)? {
+        if !reservation.grow_fairly_to(counted_bytes(body.len())) {
+            return Err(too_long());
+        }
         if read_more(read, buf).await? == 0 {
             if body.on_close() {
                 break;
@@ -213,7 +240,12 @@
             return Err(ExchangeError::BadAnswer("response truncated"));
         }
     }
-    Ok(TargetResponse { head, body: body.into_body() })
+    Ok(TargetResponse { head, body: reservation.hold(body.into_body()) })
+}
+
+/// Returns how many of the `body_bytes` bytes of a response take memory of the budget.
+fn counted_bytes(body_bytes: usize) -> usize {
+    body_bytes.saturating_sub(UNCOUNTED_BODY_BYTES)
 }
 
 async fn read_more(read: &mut OwnedReadHalf, buf: &mut BytesMut) -> Result<usize, ExchangeError> {
--- a/crates/standins/src/mesh/fleet.rs
+++ b/crates/standins/src/mesh/fleet.rs
@@ -55,6 +55,15 @@
 }
 
 impl MeshNode {
+    /// Largest resident memory of the process so far, in bytes; `None` when it has ended.
+    pub fn peak_memory_bytes(&self) -> Option<u64> {
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", self.process.as_ref()?.id()));
+        let status = status.ok()?;
+        let peak_kib = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
+        Some(peak_kib.trim().strip_suffix(" kB")?.parse::<u64>().ok()? * 1024)
+    }
+
     /// Whether the process was started and has not ended.
     pub fn is_running(&mut self) -> bool {
         self.process.as_mut().is_some_and(|p| p.exit_status().is_none())
@@ -101,6 +110,23 @@
     }
 }
 
+/// Size of a fleet and settings of its nodes and instances.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetOptions {
+    /// Number of nodes, each with an instance beside it.
+    pub count: usize,
+    /// Time that an instance takes for a request.
+    pub service_time: Duration,
+    /// Memory that each node may use, in megabytes.
+    pub memory_limit_mb: u64,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        Self { count: 2, service_time: Duration::from_millis(20), memory_limit_mb: 128 }
+    }
+}
+
 /// A store, nodes and instances. Dropping the fleet kills its processes.
 pub struct MeshFleet {
     pub store: StoreStandin,
@@ -136,6 +162,12 @@
         count: usize,
         service_time: Duration,
     ) -> eyre::Result<Self> {
+        let options = FleetOptions { count, service_time, ..FleetOptions::default() };
+        Self::start_with(program, folder, options)
+    }
+
+    /// Starts a fleet as [`MeshFleet::start`] does, with further options.
+    pub fn start_with(program: &Path, folder: &Path, options: FleetOptions) -> eyre::Result<Self> {
         let store = StoreStandin::start().wrap_err("start the store")?;
         let mut fleet = Self {
             store,
@@ -146,11 +178,11 @@
             fleet_number: FLEET_COUNT.fetch_add(1, Ordering::SeqCst),
         };
         fleet.write_configuration(1_500);
-        for i in 0..count {
-            let node = fleet.make_node(folder, i)?;
+        for i in 0..options.count {
+            let node = fleet.make_node(folder, i, options.memory_limit_mb)?;
             fleet.nodes.push(node);
             fleet.start_node(i)?;
-            fleet.start_instance(i, "v1", service_time)?;
+            fleet.start_instance(i, "v1", options.service_time)?;
         }
         fleet.wait_instances_registered(START_TIMEOUT)?;
         fleet.wait_serving(START_TIMEOUT)?;
@@ -220,7 +252,12 @@
         row["state"].as_str().map(str::to_string)
     }
 
-    fn make_node(&self, folder: &Path, index: usize) -> eyre::Result<MeshNode> {
+    fn make_node(
+        &self,
+        folder: &Path,
+        index: usize,
+        memory_limit_mb: u64,
+    ) -> eyre::Result<MeshNode> {
         let name = format!("host-{index}");
         let store_relay =
             TcpRelay::start(SocketAddr::from(([127, 0, 0, 1], 0))).wrap_err("start a relay")?;
@@ -238,7 +275,7 @@
             "listen": {"callers": callers, "targets": targets, "ready": ready,
                 "peers": address(7005), "peers_told": peer_relay.addr(), "metrics": metrics},
             "store": {"address": store_relay.addr(), "request_timeout_ms": 2200},
-            "bounds": {"grace_s": 6.0},
+            "bounds": {"grace_s": 6.0}, "memory": {"limit_mb": memory_limit_mb},
         });
         let file = folder.join(format!("{name}.json"));
         std::fs::write(&file, settings.to_string()).wrap_err("write settings")?;
--- a/crates/standins/src/mesh/instance.rs
+++ b/crates/standins/src/mesh/instance.rs
@@ -48,6 +48,12 @@
     Reject,
     /// Executes the request and responds with status 500.
     Fail,
+    /// Executes the request and sends a header without an end until the client closes the connection.
+    EndlessHead,
+    /// Executes the request and sends a body without an end until the client closes the connection.
+    EndlessBody,
+    /// Executes the request and sends responses to other requests until the client closes the connection.
+    EndlessAnswers,
 }
 
 /// Identity, capacity and service time of an instance.
@@ -265,6 +271,15 @@
     }
 }
 
+/// Writes `start` and then `unit` repeatedly, until the client closes the connection.
+fn repeat_until_closed(stream: &mut TcpStream, start: &str, unit: &[u8]) -> io::Result<()> {
+    stream.write_all(start.as_bytes())?;
+    let block = unit.repeat(64 * 1024 / unit.len());
+    loop {
+        stream.write_all(&block)?;
+    }
+}
+
 /// Response body of an instance to a request.
 pub fn response_body(request_id: &str, instance: &str) -> String {
     format!("answer of {instance} to {request_id}")
@@ -333,6 +348,20 @@
                 bytes.push_str(&response("200 OK", "somebody-else", 0));
                 stream.write_all(bytes.as_bytes())?;
             }
+            Behaviour::EndlessHead => {
+                return repeat_until_closed(&mut stream, "HTTP/1.1 200 OK\r\nX-Padding: ", b"x");
+            }
+            Behaviour::EndlessBody => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Signature: s.{id}\r\n\r\n",
+                    head.request_id
+                );
+                return repeat_until_closed(&mut stream, &head, b"U");
+            }
+            Behaviour::EndlessAnswers => {
+                let other_response = response("200 OK", "somebody-else", 0);
+                return repeat_until_closed(&mut stream, "", other_response.as_bytes());
+            }
             Behaviour::Healthy | Behaviour::Reject => {
                 stream.write_all(response("200 OK", &head.request_id, 0).as_bytes())?;
             }
