--- a/crates/ibisroute/src/mesh/attempts.rs
+++ b/crates/ibisroute/src/mesh/attempts.rs
@@ -213,6 +213,10 @@
                     state.may_have_run = true;
                     return self.finish_without_response(state, 504, "deadline");
                 }
+                () = self.node.requests_given_up() => {
+                    state.may_have_run = true;
+                    return self.finish_without_response(state, 502, "node stops");
+                }
             };
             let (chosen, outcome, began) = ended;
             let next_step = match outcome {
--- a/crates/ibisroute/src/mesh/node.rs
+++ b/crates/ibisroute/src/mesh/node.rs
@@ -144,6 +144,10 @@
     /// Whether new requests are refused. Set during a graceful stop while no request is in flight
     /// and none has arrived for `NO_CALLERS_AFTER` of the module `run`.
     pub refusing_requests: Cell<bool>,
+    /// Whether the requests that still run have been given up, because the process is about to end.
+    gave_up_requests: Cell<bool>,
+    /// Wakes the tasks that wait in [`Node::requests_given_up`].
+    give_up_notify: Notify,
     /// Number of requests from callers since the start.
     pub request_count: Cell<u64>,
     /// Arrival of the last request from a caller.
@@ -211,6 +215,8 @@
             leaving: Cell::new(false),
             graceful_stop: Cell::new(None),
             refusing_requests: Cell::new(false),
+            gave_up_requests: Cell::new(false),
+            give_up_notify: Notify::new(),
             request_count: Cell::new(0),
             last_request_at: Cell::new(Millis(0)),
             in_flight: Cell::new(0),
@@ -243,6 +249,20 @@
         self.refusing_requests.get()
     }
 
+    /// Ends the requests that still run with an error response, because the process is about to end.
+    pub fn give_up_requests(&self) {
+        self.gave_up_requests.set(true);
+        self.give_up_notify.notify_waiters();
+    }
+
+    /// Waits until [`Node::give_up_requests`] is called.
+    pub async fn requests_given_up(&self) {
+        let notified = self.give_up_notify.notified();
+        if !self.gave_up_requests.get() {
+            notified.await;
+        }
+    }
+
     /// Applies the retry budget of reloaded settings. Other settings take effect at the next start.
     pub fn apply_reloaded_settings(&self, cfg: MeshSettings) {
         self.budget_settings.set(cfg.bounds.budget());
--- a/crates/ibisroute/src/mesh/proxy.rs
+++ b/crates/ibisroute/src/mesh/proxy.rs
@@ -91,7 +91,8 @@
 
     async fn handle(self: Rc<Self>, req: Request) -> Response {
         let node = &self.node;
-        let Some(config) = node.config() else {
+        // The node may have begun to refuse requests while the body arrived.
+        let Some(config) = node.config().filter(|_| !node.refuses_new_requests()) else {
             return node.not_run_response(&req.head, None, None);
         };
         let host = req.head.headers.text("host").unwrap_or_default();
--- a/crates/ibisroute/src/mesh/run.rs
+++ b/crates/ibisroute/src/mesh/run.rs
@@ -55,6 +55,10 @@
 /// Interval at which a stopping node checks whether it is idle.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Interval at which a stopping node checks whether the responses to the requests that it has given up are
+/// written.
+const RESPONSE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Interval at which the settings file is checked for changes; it may change without a signal.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -189,6 +193,11 @@
         ("cut_calls", node.target.open_calls().into()),
         ("requests_since_stop", (node.request_count.get() - requests_before).into()),
     ];
+    node.refusing_requests.set(true);
+    node.give_up_requests();
+    while node.in_flight.get() > 0 && node.clock.now() < stop.exit_by() {
+        sleep(RESPONSE_CHECK_INTERVAL).await;
+    }
     node.log.line(node.clock.now(), LineClass::Other, &codes::STOPPED, &fields);
     node.log.stop();
 }
--- a/crates/ibisroute/tests/mesh_fleet.rs
+++ b/crates/ibisroute/tests/mesh_fleet.rs
@@ -454,6 +454,36 @@
     assert_eq!(status_for_timeout(LONG_CALLER_TIMEOUT), Some(503));
 }
 
+/// Guards against a request that a stopping node has sent to an instance and that ends without an answer,
+/// because it runs longer than the process.
+#[test]
+fn stopping_node_answers_running_requests() {
+    let (mut fleet, _folder) = start_fleet("running-stop", 2);
+    let route_timeout = Duration::from_secs(8);
+    fleet.write_configuration(route_timeout.as_millis() as u64);
+    let version = fleet.config_version() as f64;
+    wait::until_true("the configuration to take effect", APPLY_BOUND, || {
+        fleet.nodes[0].metric("ibis_config_version") == Some(version)
+    })
+    .expect("in effect");
+    fleet.instances.iter().for_each(|i| i.set_behaviour(Behaviour::Silent));
+    fleet.signal(0, "TERM").expect("SIGTERM");
+    let signalled_at = Instant::now();
+    std::thread::scope(|scope| {
+        for n in 0..4 {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                let id = format!("running-stop-{n}");
+                let response = fleet.nodes[0].request("POST", ORDER_PATH, &id, route_timeout);
+                assert_eq!(response.map(|r| r.status), Some(502), "{id}");
+                assert_eq!(fleet.execution_count(&id), 1, "{id}");
+            });
+        }
+    });
+    let remaining = Duration::from_secs(6).saturating_sub(signalled_at.elapsed());
+    fleet.wait_ended(0, remaining).expect("the process ends within its grace period");
+}
+
 /// Guards against a killed node that does not serve again after its restart, or has lost the
 /// configuration.
 #[test]
--- a/crates/ibisroute/tests/stop_admission.rs
+++ b/crates/ibisroute/tests/stop_admission.rs
@@ -36,6 +36,25 @@
     );
 }
 
+/// Guards against a long grace period in whose first half requests are admitted for many seconds although
+/// they may run beyond the end of the process.
+#[test]
+fn long_grace_period() {
+    let stop = GracefulStop::new(Millis(1_000), Millis(20_000));
+    let long_time_left = Millis(18_000);
+    assert!(stop.admits(Millis(3_900), long_time_left), "callers may not have been told yet");
+    assert!(!stop.admits(Millis(4_100), long_time_left), "the deadline is after the end");
+    assert!(stop.admits(Millis(4_100), Millis(15_000)), "the deadline is before the end");
+}
+
+/// Guards against running requests that end with the process: each is answered before.
+#[test]
+fn answers_before_exit() {
+    let stop = stop_started_at(1_000);
+    assert!(stop.end() < stop.exit_by());
+    assert!(stop.exit_by() < Millis(1_000 + STOP_GRACE.0));
+}
+
 quickcheck! {
     /// Guards against a request that is admitted in the second half of the stop although its
     /// deadline is after the end of the process.
