Read the other rows of a page when one of them is unreadable

A report of other operators: one odd entry of another writer, deeply nested or with a number too large, ended the machines that read the list, or they stopped following it. No process ends here, but three readers lost more than the odd entry:

- One unreadable row made a page of the store unreadable; a node could neither join nor follow.
- On the product's own interface, a value nested over 128 levels hid all rows of a scan.
- A heartbeat with a sequence number or start near 2^64 was accepted, and every later heartbeat of the target then counted as older.
The same held for a leave announcement.

Change: unreadable rows are logged and left out, or kept with the value null where the length of the page matters; heartbeats are rejected above 2^53 - 1, 65,536 slots or with port 0.

--- a/crates/ibisroute/src/platform/client.rs
+++ b/crates/ibisroute/src/platform/client.rs
@@ -16,6 +16,9 @@
 use futures_util::FutureExt;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde_json::Value;
+use serde_json::value::RawValue;
+use smol_str::SmolStr;
 
 use super::Platform;
 use super::PlatformFuture;
@@ -23,12 +26,14 @@
 use super::model::Outcome;
 use super::model::PlatformError;
 use super::model::PutOutcome;
+use super::model::Revision;
 use super::model::Row;
 use super::model::Transaction;
 use super::platform_settings::PlatformSettings;
 use super::rows::StoreRequest;
 use crate::events;
 use crate::events::platform::UNEXPECTED_RESPONSE;
+use crate::events::platform::UNREADABLE_ROW;
 
 /// Time after which an idle connection is closed. It is below the usual idle timeouts of servers, so
 /// that a request is rarely sent on a connection that the platform is closing.
@@ -67,9 +72,24 @@
     }
 }
 
+/// Row whose value is decoded apart from it, so that an unreadable value does not affect other rows.
+#[derive(Deserialize)]
+struct RowWire {
+    key: SmolStr,
+    value: Box<RawValue>,
+    revision: Revision,
+}
+
+impl From<RowWire> for Row {
+    fn from(wire: RowWire) -> Self {
+        let value = readable_value(&wire.key, &wire.value);
+        Self { key: wire.key, value, revision: wire.revision }
+    }
+}
+
 #[derive(Deserialize)]
 struct ScanResponse {
-    rows: Vec<Row>,
+    rows: Vec<RowWire>,
 }
 
 #[derive(Deserialize)]
@@ -77,9 +97,33 @@
     committed: bool,
 }
 
+#[derive(Deserialize)]
+struct ConflictWire {
+    key: SmolStr,
+    revision: Option<Revision>,
+    value: Option<Box<RawValue>>,
+}
+
+impl From<ConflictWire> for Conflict {
+    fn from(wire: ConflictWire) -> Self {
+        let value = wire.value.map(|value| readable_value(&wire.key, &value));
+        Self { key: wire.key, revision: wire.revision, value }
+    }
+}
+
 #[derive(Deserialize)]
 struct ConflictResponse {
-    conflicts: Vec<Conflict>,
+    conflicts: Vec<ConflictWire>,
+}
+
+/// Decodes the value of a row. A value that cannot be read, for example a deeply nested one of another
+/// writer, is logged and counts as `null`. The row is kept, because the number of rows on a page tells
+/// whether more follow.
+fn readable_value(key: &str, value: &RawValue) -> Value {
+    serde_json::from_str(value.get()).unwrap_or_else(|e| {
+        events::emit(&UNREADABLE_ROW, format_args!("row {key}: {e}"));
+        Value::Null
+    })
 }
 
 impl HttpPlatform {
@@ -240,7 +284,7 @@
             let max_bytes = this.inner.cfg.max_rows_bytes;
             let response = this.call(RequestKind::Read, req, Bytes::new(), max_bytes).await?;
             match response.status {
-                StatusCode::OK => decode(&response.body).map(Some),
+                StatusCode::OK => decode::<RowWire>(&response.body).map(|wire| Some(wire.into())),
                 StatusCode::NOT_FOUND => Ok(None),
                 _ => unexpected_status("reading a row", &response),
             }
@@ -257,7 +301,10 @@
             let max_bytes = this.inner.cfg.max_rows_bytes;
             let response = this.call(RequestKind::Read, req, Bytes::new(), max_bytes).await?;
             match response.status {
-                StatusCode::OK => decode::<ScanResponse>(&response.body).map(|r| r.rows),
+                StatusCode::OK => {
+                    let wire: ScanResponse = decode(&response.body)?;
+                    Ok(wire.rows.into_iter().map(Row::from).collect())
+                }
                 _ => unexpected_status("scanning rows", &response),
             }
         }
@@ -280,7 +327,7 @@
                 }
                 StatusCode::CONFLICT => {
                     let conflicts = decode::<ConflictResponse>(&response.body)?.conflicts;
-                    Ok(Outcome::Conflicts(conflicts))
+                    Ok(Outcome::Conflicts(conflicts.into_iter().map(Conflict::from).collect()))
                 }
                 _ => unexpected_status("committing a transaction", &response),
             }
--- a/crates/ibisroute/src/platform/heartbeat.rs
+++ b/crates/ibisroute/src/platform/heartbeat.rs
@@ -1,5 +1,7 @@
 //! Heartbeats of targets in the format of the external platform.
 
+use std::net::SocketAddr;
+
 use serde::Deserialize;
 use smol_str::SmolStr;
 
@@ -14,6 +16,14 @@
 /// a body with a larger value is not a valid heartbeat.
 const MAX_COLD_S: f64 = 600.0;
 
+/// Maximum accepted number of slots. No target has nearly as many, so a body with a larger value is not a
+/// valid heartbeat.
+const MAX_SLOTS: u32 = 65_536;
+
+/// Maximum accepted sequence number, and start of an incarnation in Unix milliseconds: the largest integer
+/// that every JSON implementation keeps exactly. With a larger one, no later heartbeat would count as newer.
+const MAX_COUNTER: u64 = (1 << 53) - 1;
+
 /// JSON body of `PUT /-/instances/ID`, the heartbeat of a target.
 #[derive(Clone, Debug, Deserialize)]
 pub struct HeartbeatWire {
@@ -74,17 +84,22 @@
     fn try_from(wire: HeartbeatWire) -> Result<Self, HeartbeatError> {
         let name_error = HeartbeatError::Name;
         let cold_s = wire.status.cold_remaining_s;
-        if wire.info.slots == 0 {
+        if !(1..=MAX_SLOTS).contains(&wire.info.slots) {
             return Err(HeartbeatError::Range("slots"));
         }
+        if wire.status.sequence > MAX_COUNTER {
+            return Err(HeartbeatError::Range("sequence"));
+        }
+        if wire.born > MAX_COUNTER {
+            return Err(HeartbeatError::Range("born"));
+        }
         if !(0.0..=MAX_COLD_S).contains(&cold_s) {
             return Err(HeartbeatError::Range("cold_remaining_s"));
         }
+        let address = wire.address.parse::<SocketAddr>().ok().filter(|a| a.port() != 0);
         Ok(Self {
-            address: wire
-                .address
-                .parse()
-                .map_err(|_| HeartbeatError::Malformed(format!("address {:?}", wire.address)))?,
+            address: address
+                .ok_or_else(|| HeartbeatError::Malformed(format!("address {:?}", wire.address)))?,
             service: wire.info.service.try_into().map_err(name_error)?,
             version: wire.info.version.try_into().map_err(name_error)?,
             data_centre: wire.info.zone.try_into().map_err(name_error)?,
@@ -109,13 +124,14 @@
 }
 
 /// Returns the start of the incarnation that leaves, from the body of `DELETE /-/instances/ID`;
-/// `None` if the body does not contain it.
+/// `None` if the body does not contain it or it is out of range.
 pub fn decode_leave(body: &[u8]) -> Option<UnixMillis> {
     #[derive(Deserialize)]
     struct LeaveWire {
         born: u64,
     }
-    serde_json::from_slice::<LeaveWire>(body).ok().map(|wire| UnixMillis(wire.born))
+    let wire = serde_json::from_slice::<LeaveWire>(body).ok()?;
+    (wire.born <= MAX_COUNTER).then_some(UnixMillis(wire.born))
 }
 
 /// Returns the target's id from a path under [`super::headers::INSTANCES_PATH`].
--- a/crates/ibisroute/src/platform/rows.rs
+++ b/crates/ibisroute/src/platform/rows.rs
@@ -8,10 +8,13 @@
 use futures_util::FutureExt;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_json::value::RawValue;
 use smol_str::SmolStr;
 
 use super::client::HttpPlatform;
 use super::model::PlatformError;
+use crate::events;
+use crate::events::platform::UNREADABLE_ROW;
 use crate::mesh::replicated_rows::RowChange;
 use crate::mesh::replicated_rows::RowVersion;
 use crate::mesh::store::RowPage;
@@ -76,10 +79,11 @@
     tombstone: bool,
 }
 
+/// Page of rows. `R` is [`RowWire`], or [`RawValue`] if the rows are decoded one by one.
 #[derive(Deserialize)]
-struct PageWire<'a> {
-    #[serde(borrow, default)]
-    rows: Vec<RowWire<'a>>,
+struct PageWire<R> {
+    #[serde(default = "Vec::new")]
+    rows: Vec<R>,
     #[serde(default)]
     has_more: bool,
     /// Newest version of the whole store; the field of the same name in [`RowWire`] is the version of
@@ -102,17 +106,17 @@
     }
 }
 
-impl TryFrom<PageWire<'_>> for RowPage {
-    type Error = String;
-
-    fn try_from(wire: PageWire<'_>) -> Result<Self, String> {
-        let rows: Result<Vec<RowChange>, String> =
-            wire.rows.into_iter().map(RowChange::try_from).collect();
-        Ok(Self {
-            rows: rows?,
-            has_more: wire.has_more,
-            version: RowVersion(wire.resource_version),
-        })
+impl<R> PageWire<R> {
+    /// Decodes the rows. A row that cannot be read is logged and left out; the others hold.
+    fn into_page(self, mut decode: impl FnMut(R) -> Result<RowChange, String>) -> RowPage {
+        let readable = |row| {
+            decode(row).inspect_err(|e| events::emit(&UNREADABLE_ROW, format_args!("{e}"))).ok()
+        };
+        RowPage {
+            rows: self.rows.into_iter().filter_map(readable).collect(),
+            has_more: self.has_more,
+            version: RowVersion(self.resource_version),
+        }
     }
 }
 
@@ -146,9 +150,17 @@
     StoreRequest { method: "GET", target, body: Vec::new() }
 }
 
-/// Decodes the response to a read or a watch; fails if the body is not a page of rows.
+/// Decodes the response to a read or a watch; fails if the body is not a page of rows. Rows that cannot be
+/// read are left out.
 pub fn decode_page(body: &[u8]) -> Result<RowPage, String> {
-    serde_json::from_slice::<PageWire<'_>>(body).map_err(|e| e.to_string())?.try_into()
+    if let Ok(wire) = serde_json::from_slice::<PageWire<RowWire<'_>>>(body) {
+        return Ok(wire.into_page(RowChange::try_from));
+    }
+    // One row may make the page as a whole unreadable, for example by a number that is too large.
+    let wire: PageWire<&RawValue> = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    Ok(wire.into_page(|row| {
+        serde_json::from_str::<RowWire<'_>>(row.get()).map_err(|e| e.to_string())?.try_into()
+    }))
 }
 
 /// Decodes the response to a write; fails for any status other than 200 and 412.
--- a/crates/ibisroute/tests/heartbeat_records.rs
+++ b/crates/ibisroute/tests/heartbeat_records.rs
@@ -58,6 +58,9 @@
         assert!(heartbeat::decode(invalid.as_bytes()).is_err(), "{invalid}");
     }
     assert!(heartbeat::decode(b"\xff\x00").is_err());
+    assert_eq!(heartbeat::decode_leave(br#"{"born":17}"#), Some(UnixMillis(17)));
+    assert_eq!(heartbeat::decode_leave(br#"{"born":18446744073709551615}"#), None);
+    assert_eq!(heartbeat::decode_leave(br#"{"born":1e999}"#), None);
 }
 
 /// Guards against a heartbeat, delayed by a partition, that restores the previous incarnation.
--- a/crates/ibisroute/tests/platform_client.rs
+++ b/crates/ibisroute/tests/platform_client.rs
@@ -110,6 +110,28 @@
     assert!(request.starts_with(line), "{request}");
 }
 
+/// Guards against a page of rows that is lost because of one value that cannot be read. The row stays in the
+/// page without its value, because the length of a page tells whether more rows follow.
+#[actix_rt::test]
+async fn unreadable_value_keeps_page() {
+    let nested = "[".repeat(200) + &"]".repeat(200);
+    for odd in [nested, "1e999".to_string()] {
+        let body = format!(
+            r#"{{"rows":[{{"key":"a","value":{odd},"revision":1}},{{"key":"b","value":7,"revision":2}}]}}"#
+        );
+        let server = ScriptedServer::with_status("200 OK", &body);
+        let rows = server.client().scan("", "", 10).await.expect("a page");
+        let read: Vec<_> = rows.iter().map(|r| (r.key.as_str(), r.value.as_u64())).collect();
+        assert_eq!(read, [("a", None), ("b", Some(7))], "{odd}");
+        let body = format!(
+            r#"{{"committed":false,"conflicts":[{{"key":"a","revision":1,"value":{odd}}}]}}"#
+        );
+        let server = ScriptedServer::with_status("409 Conflict", &body);
+        let outcome = server.client().transact(Transaction::default()).await;
+        assert!(matches!(outcome, Ok(Outcome::Conflicts(c)) if c.len() == 1), "{odd}");
+    }
+}
+
 /// Guards against an absent row or object that counts as a failure.
 #[actix_rt::test]
 async fn absent_rows_and_objects_are_no_failure() {
