--- a/crates/standins/src/bin/mesh_soak.rs
+++ b/crates/standins/src/bin/mesh_soak.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use clap::Arg;
+use clap::ArgAction;
 use clap::Command;
 use clap::value_parser;
 use eyre::OptionExt;
@@ -29,6 +30,12 @@
         .arg(number("seconds", "10", "Time during which faults are injected, for each seed"))
         .arg(number("nodes", "5", "Nodes in a fleet"))
         .arg(number("callers", "10", "Concurrent callers"))
+        .arg(
+            Arg::new("planned")
+                .long("planned")
+                .action(ArgAction::SetTrue)
+                .help("Only planned work; no request may be lost"),
+        )
         .arg(
             Arg::new("programs")
                 .long("programs")
@@ -52,6 +59,7 @@
             nodes: number("nodes")? as usize,
             fault_duration: Duration::from_secs(number("seconds")?),
             callers: number("callers")? as usize,
+            planned_only: args.get_flag("planned"),
         };
         let folder = std::env::temp_dir().join(format!("mesh-soak-{}-{seed}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
--- a/crates/standins/src/mesh/mod.rs
+++ b/crates/standins/src/mesh/mod.rs
@@ -3,5 +3,6 @@
 
 pub mod fleet;
 pub mod instance;
+pub mod kept_connection;
 pub mod soak;
 pub mod store;
--- a/crates/standins/src/mesh/soak.rs
+++ b/crates/standins/src/mesh/soak.rs
@@ -23,6 +23,8 @@
 use super::instance::Behaviour;
 use super::instance::InstanceStandin;
 use super::instance::response_body;
+use super::kept_connection::KeptConnection;
+use super::kept_connection::KeptResponse;
 use super::store::StoreFaults;
 use crate::http::Request;
 use crate::server::lock;
@@ -49,6 +51,10 @@
 /// Time after the last fault within which the fleet must serve again: 15 s, as required.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Kinds of faults that are planned work: stops of nodes, reloads, departures of instances and changes of the
+/// configuration.
+const PLANNED_KINDS: [u32; 5] = [1, 1, 3, 11, 13];
+
 /// Size, duration and seed of a soak test.
 #[derive(Clone, Debug)]
 pub struct SoakOptions {
@@ -60,11 +66,20 @@
     pub fault_duration: Duration,
     /// Number of callers.
     pub callers: usize,
+    /// Whether only planned work is done: stops and starts of nodes, reloads, changes of the configuration
+    /// and departures of instances. No request may be lost then.
+    pub planned_only: bool,
 }
 
 impl Default for SoakOptions {
     fn default() -> Self {
-        Self { seed: 1, nodes: 5, fault_duration: Duration::from_secs(10), callers: 10 }
+        Self {
+            seed: 1,
+            nodes: 5,
+            fault_duration: Duration::from_secs(10),
+            callers: 10,
+            planned_only: false,
+        }
     }
 }
 
@@ -106,6 +121,9 @@
     disturbed_until: Vec<Mutex<Instant>>,
     /// Result of each order, by request id.
     orders: Mutex<HashMap<String, OrderResult>>,
+    /// Requests on kept connections that ended without an answer, with the node and the time since they
+    /// were sent.
+    unanswered: Mutex<Vec<(String, usize, Duration)>>,
     violations: Mutex<Vec<String>>,
     sent: AtomicU64,
     served: AtomicU64,
@@ -146,6 +164,7 @@
     let monitor = Monitor {
         disturbed_until: (0..options.nodes).map(|_| Mutex::new(undisturbed)).collect(),
         orders: Mutex::default(),
+        unanswered: Mutex::default(),
         violations: Mutex::default(),
         sent: AtomicU64::new(0),
         served: AtomicU64::new(0),
@@ -154,12 +173,16 @@
     };
     let addresses: Vec<_> = fleet.nodes.iter().map(|n| n.callers).collect();
     let metrics: Vec<_> = fleet.nodes.iter().map(|n| n.metrics).collect();
-    let mut injector = FaultInjector::new(options.seed, options.nodes, service_time);
+    let mut injector = FaultInjector::new(options, service_time);
     thread::scope(|scope| -> eyre::Result<()> {
         for caller in 0..options.callers {
             let (monitor, addresses) = (&monitor, &addresses);
             let seed = options.seed.wrapping_mul(1_000).wrapping_add(caller as u64);
             scope.spawn(move || run_caller(monitor, addresses, caller, seed));
+            scope.spawn(move || {
+                let node = caller % addresses.len();
+                run_keeping_caller(monitor, addresses[node], node, caller, !seed)
+            });
         }
         scope.spawn(|| check_versions(&monitor, &metrics));
         let injection_result =
@@ -170,6 +193,9 @@
         recovery_result
     })?;
     check_executions(&fleet, &monitor, &injector);
+    if options.planned_only {
+        check_unanswered(&fleet, &monitor);
+    }
     let report = SoakReport {
         sent: monitor.sent.load(Ordering::SeqCst),
         served: monitor.served.load(Ordering::SeqCst),
@@ -243,6 +269,78 @@
     }
 }
 
+/// Sends requests to one node on connections that it uses until the node closes them.
+fn run_keeping_caller(
+    monitor: &Monitor,
+    address: std::net::SocketAddr,
+    node: usize,
+    caller: usize,
+    seed: u64,
+) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut sent_requests = 0;
+    let mut conn: Option<KeptConnection> = None;
+    while !monitor.finished.load(Ordering::SeqCst) {
+        thread::sleep(Duration::from_millis(rng.random_range(0..40)));
+        let Some(open_conn) = conn.as_mut() else {
+            conn = KeptConnection::open(address, REQUEST_DEADLINE + RESPONSE_SLACK).ok();
+            continue;
+        };
+        sent_requests += 1;
+        let id = format!("k{caller}-{sent_requests}");
+        let body_bytes = match rng.random_range(0..10) {
+            0..6 => None,
+            6..9 => Some(500),
+            _ => Some(60_000),
+        };
+        let (method, path) =
+            if body_bytes.is_some() { ("POST", ORDER_PATH) } else { ("GET", READ_PATH) };
+        let deadline_ms = REQUEST_DEADLINE.as_millis();
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\n\
+             Content-Length: {}\r\n\r\n",
+            body_bytes.unwrap_or(0)
+        );
+        let sent_at = Instant::now();
+        monitor.sent.fetch_add(1, Ordering::SeqCst);
+        let mut result = OrderResult::MayHaveRun;
+        match open_conn.exchange(&head, &vec![b'x'; body_bytes.unwrap_or(0)]) {
+            Ok(KeptResponse { status, closes }) => {
+                match status {
+                    200 => drop(monitor.served.fetch_add(1, Ordering::SeqCst)),
+                    408 | 421 | 429 | 503 => {
+                        monitor.refused.fetch_add(1, Ordering::SeqCst);
+                        result = OrderResult::NotRun;
+                    }
+                    _ => {}
+                }
+                if closes {
+                    conn = None;
+                }
+            }
+            Err(_) => {
+                conn = None;
+                lock(&monitor.unanswered).push((id.clone(), node, sent_at.elapsed()));
+            }
+        }
+        if body_bytes.is_some() {
+            lock(&monitor.orders).insert(id, result);
+        }
+    }
+}
+
+/// Checks that no request was executed and then ended without an answer.
+fn check_unanswered(fleet: &MeshFleet, monitor: &Monitor) {
+    for (id, node, elapsed) in lock(&monitor.unanswered).iter() {
+        if fleet.execution_count(id) > 0 {
+            monitor.report_violation(format!(
+                "{id}: executed, but host-{node} ended its connection without an answer after {} ms",
+                elapsed.as_millis()
+            ));
+        }
+    }
+}
+
 /// Checks that no node returns to an older configuration within the lifetime of its process.
 fn check_versions(monitor: &Monitor, metrics: &[std::net::SocketAddr]) {
     let mut last_versions = vec![(0.0, 0.0); metrics.len()];
@@ -271,6 +369,7 @@
     rng: SmallRng,
     nodes: usize,
     service_time: Duration,
+    planned_only: bool,
     fault_log: Vec<String>,
     /// Draining instances, with the time at which their node acknowledged the draining.
     drained_instances: Vec<(usize, Instant)>,
@@ -282,13 +381,15 @@
 }
 
 impl FaultInjector {
-    fn new(seed: u64, nodes: usize, service_time: Duration) -> Self {
-        let rng = SmallRng::seed_from_u64(seed);
+    fn new(options: &SoakOptions, service_time: Duration) -> Self {
+        let rng = SmallRng::seed_from_u64(options.seed);
+        let nodes = options.nodes;
         let (fault_log, drained_instances) = (Vec::new(), Vec::new());
         Self {
             rng,
             nodes,
             service_time,
+            planned_only: options.planned_only,
             fault_log,
             drained_instances,
             instance_of_node: (0..nodes).collect(),
@@ -346,7 +447,11 @@
 ) -> eyre::Result<Option<(Duration, FaultEnd)>> {
     let node = injector.random_node();
     let fault_duration = Duration::from_millis(injector.rng.random_range(200..3_000));
-    let fault_kind = injector.rng.random_range(0..14);
+    let fault_kind = if injector.planned_only {
+        PLANNED_KINDS[injector.rng.random_range(0..PLANNED_KINDS.len())]
+    } else {
+        injector.rng.random_range(0..14)
+    };
     let mut log = |text: String| injector.fault_log.push(text);
     let is_available = !injector.unavailable_nodes[node];
     Ok(match fault_kind {
@@ -430,7 +535,7 @@
         }
         11 => {
             let instance = injector.instance_of_node[node];
-            if injector.rng.random_bool(0.5) {
+            if !injector.planned_only && injector.rng.random_bool(0.5) {
                 injector.fault_log.push(format!("i-{instance} crashes"));
                 fleet.instances[instance].crash();
             } else {
