--- a/crates/ibisroute/tests/mesh_fleet.rs
+++ b/crates/ibisroute/tests/mesh_fleet.rs
@@ -484,6 +484,34 @@
     fleet.wait_ended(0, remaining).expect("the process ends within its grace period");
 }
 
+/// Guards against a stopping node that gives up a request because its instance is silent for longer than usual,
+/// although the instance is still at work and answers in time.
+#[test]
+fn stopping_node_waits_for_slow_instances() {
+    let (fleet, _folder) = start_fleet("slow-stop", 2);
+    // The nodes learn the usual response time.
+    for n in 0..20 {
+        let id = format!("slow-stop-usual-{n}");
+        let (method, path) = if n % 2 == 0 { ("GET", READ_PATH) } else { ("POST", ORDER_PATH) };
+        let response = fleet.nodes[0].request(method, path, &id, CALLER_TIMEOUT);
+        assert_eq!(response.map(|r| r.status), Some(200), "{id}");
+    }
+    fleet.instances.iter().for_each(|i| i.set_behaviour(Behaviour::Slow));
+    fleet.signal(0, "TERM").expect("SIGTERM");
+    std::thread::scope(|scope| {
+        for n in 0..4 {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                let id = format!("slow-stop-{n}");
+                let (method, path) =
+                    if n % 2 == 0 { ("GET", READ_PATH) } else { ("POST", ORDER_PATH) };
+                let response = fleet.nodes[0].request(method, path, &id, CALLER_TIMEOUT);
+                assert_eq!(response.map(|r| r.status), Some(200), "{method} {id}");
+            });
+        }
+    });
+}
+
 /// Guards against a killed node that does not serve again after its restart, or has lost the
 /// configuration.
 #[test]
--- a/crates/standins/src/mesh/instance.rs
+++ b/crates/standins/src/mesh/instance.rs
@@ -30,6 +30,9 @@
 /// Interval between heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Factor by which [`Behaviour::Slow`] exceeds the usual service time.
+pub const SLOW_FACTOR: u32 = 40;
+
 /// How an instance handles its requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Behaviour {
@@ -48,6 +51,8 @@
     Reject,
     /// Executes the request and responds with status 500.
     Fail,
+    /// Executes the request in [`SLOW_FACTOR`] times the usual service time.
+    Slow,
     /// Executes the request and sends a header without an end until the client closes the connection.
     EndlessHead,
     /// Executes the request and sends a body without an end until the client closes the connection.
@@ -319,7 +324,8 @@
             deadline_ms: head.deadline_ms,
             body_bytes: body.len(),
         });
-        thread::sleep(shared.options.service_time);
+        let slowdown = if behaviour == Behaviour::Slow { SLOW_FACTOR } else { 1 };
+        thread::sleep(shared.options.service_time * slowdown);
         shared.running.fetch_sub(1, Ordering::SeqCst);
         let response = |status: &str, request_id: &str, omitted_bytes: usize| {
             let body = response_body(request_id, id);
@@ -362,7 +368,7 @@
                 let other_response = response("200 OK", "somebody-else", 0);
                 return repeat_until_closed(&mut stream, "", other_response.as_bytes());
             }
-            Behaviour::Healthy | Behaviour::Reject => {
+            Behaviour::Healthy | Behaviour::Slow | Behaviour::Reject => {
                 stream.write_all(response("200 OK", &head.request_id, 0).as_bytes())?;
             }
         }
