Do not limit unacknowledged bytes on connections to targets

Callers saw: 502 for an upload whose target was at work and answered in time.

Cause: TCP_USER_TIMEOUT of 1.5 s, set to detect silent connections, also ends a connection whose receiver has no room. A target may read a long body only when it has a free slot. Ruled out: the node's own timeouts, which follow the deadline.

Change: connections to targets keep their keep-alive probes, without that limit. Between nodes it stays.

Test: slow_readers::body_read_late failed before ("no answer: Connection timed out (os error 110)", the target: ConnectionReset) and passes.

--- a/crates/ibisroute/src/mesh/link.rs
+++ b/crates/ibisroute/src/mesh/link.rs
@@ -103,7 +103,7 @@
         open_timeout: Millis,
     ) -> io::Result<(Rc<Self>, LinkReader)> {
         let opening = async {
-            let stream = socket::connect(peer.address, open_timeout).await?;
+            let stream = socket::connect_node(peer.address, open_timeout).await?;
             let (read, write) = stream.into_split();
             let send_queue = Rc::new(SendQueue::default());
             send_queue.send(&Frame::Hello(own.clone(), known_count as u32));
@@ -310,7 +310,7 @@
     handler: H,
     silence_timeout: Millis,
 ) -> io::Result<()> {
-    socket::set_options(&stream)?;
+    socket::set_node_options(&stream)?;
     let (read, write) = stream.into_split();
     let send_queue = Rc::new(SendQueue::default());
     let mut reader = LinkReader { stream: read, buf: BytesMut::new() };
--- a/crates/ibisroute/src/mesh/socket.rs
+++ b/crates/ibisroute/src/mesh/socket.rs
@@ -13,8 +13,9 @@
 
 use crate::types::Millis;
 
-/// Time after which a connection is closed if sent bytes are not acknowledged. A connection can fail
-/// without a reset, and the default limit of the operating system is many minutes.
+/// Time after which a connection between nodes is closed if sent bytes are not acknowledged, or cannot be sent
+/// because the receiver reads nothing. A connection can fail without a reset, and the default limit of the
+/// operating system is many minutes.
 pub const UNACKNOWLEDGED_TIMEOUT: Millis = Millis(1_500);
 
 /// Idle time before the first keep-alive probe, and between probes.
@@ -24,29 +25,46 @@
 /// the operating system of the caller tries to connect again only after a second.
 const BACKLOG: u32 = 1024;
 
-/// Connects to an address and sets the socket options. Fails with [`io::ErrorKind::TimedOut`] after
+/// Connects to a node and sets the socket options. Fails with [`io::ErrorKind::TimedOut`] after
 /// `connect_timeout`.
-pub async fn connect(address: SocketAddr, connect_timeout: Millis) -> io::Result<TcpStream> {
+pub async fn connect_node(address: SocketAddr, connect_timeout: Millis) -> io::Result<TcpStream> {
+    let stream = connect(address, connect_timeout).await?;
+    set_node_options(&stream)?;
+    Ok(stream)
+}
+
+/// Connects to a target like [`connect_node`], but without [`UNACKNOWLEDGED_TIMEOUT`]: a target may read a long
+/// body only when it has a free slot, so the deadline of the request limits the wait.
+pub async fn connect_target(address: SocketAddr, connect_timeout: Millis) -> io::Result<TcpStream> {
+    let stream = connect(address, connect_timeout).await?;
+    set_options(&stream)?;
+    Ok(stream)
+}
+
+async fn connect(address: SocketAddr, connect_timeout: Millis) -> io::Result<TcpStream> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
-    let stream = timeout(connect_timeout.to_duration(), socket.connect(address))
+    timeout(connect_timeout.to_duration(), socket.connect(address))
         .await
-        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    set_options(&stream)?;
-    Ok(stream)
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+}
+
+/// Sets the options of a connection between nodes: no delay of short writes, keep-alive probes, and
+/// [`UNACKNOWLEDGED_TIMEOUT`].
+pub fn set_node_options(stream: &TcpStream) -> io::Result<()> {
+    set_options(stream)?;
+    let limit = UNACKNOWLEDGED_TIMEOUT.to_duration();
+    SockRef::from(stream).set_tcp_user_timeout(Some(limit))
 }
 
-/// Sets the options of a connection between nodes or to a target: no delay of short writes, keep-alive
-/// probes, and [`UNACKNOWLEDGED_TIMEOUT`].
-pub fn set_options(stream: &TcpStream) -> io::Result<()> {
+/// Sets no delay of short writes, and keep-alive probes.
+fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT.to_duration()))?;
     let probes =
         TcpKeepalive::new().with_time(PROBE_INTERVAL).with_interval(PROBE_INTERVAL).with_retries(2);
-    socket.set_tcp_keepalive(&probes)
+    SockRef::from(stream).set_tcp_keepalive(&probes)
 }
 
 /// Listens on an address that may be in use by connections of an earlier process.
--- a/crates/ibisroute/src/mesh/target_conn.rs
+++ b/crates/ibisroute/src/mesh/target_conn.rs
@@ -91,7 +91,7 @@
 impl TargetConn {
     /// Connects to the target. An error proves that nothing was sent.
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
-        let stream: TcpStream = socket::connect(address, CONNECT_TIMEOUT).await?;
+        let stream: TcpStream = socket::connect_target(address, CONNECT_TIMEOUT).await?;
         let (read, write) = stream.into_split();
         Ok(Self {
             read,
