--- a/crates/ibisroute/tests/body_memory.rs
+++ b/crates/ibisroute/tests/body_memory.rs
@@ -1,19 +1,22 @@
 //! Memory for the bodies of callers' requests while they arrive.
 
+mod common;
+
 use std::io::Read;
 use std::io::Write;
 use std::net::TcpStream;
-use std::path::Path;
-use std::path::PathBuf;
 use std::time::Duration;
 use std::time::Instant;
 
+use standins::mesh::fleet::FleetOptions;
 use standins::mesh::fleet::HOST;
 use standins::mesh::fleet::MeshFleet;
 use standins::mesh::fleet::ORDER_PATH;
 use standins::mesh::fleet::READ_PATH;
 use standins::wait;
 
+use crate::common::mesh::TempFolder;
+
 /// Largest body that the configuration permits, in bytes.
 const BODY_BYTES: usize = 1_000_000;
 
@@ -23,21 +26,8 @@
 /// Required maximum of bodies that a node accepts at the same time, of [`BODY_BYTES`] each.
 const MAX_BODIES: usize = 53;
 
-struct TempFolder(PathBuf);
-
-impl Drop for TempFolder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 fn start_fleet(name: &str) -> (MeshFleet, TempFolder) {
-    let folder = std::env::temp_dir().join(format!("ibisroute-{name}-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("the folder for settings is created");
-    let program = Path::new(env!("CARGO_BIN_EXE_ibisrouted"));
-    let service_time = Duration::from_millis(20);
-    let fleet = MeshFleet::start(program, &folder, 1, service_time).expect("the fleet starts");
-    (fleet, TempFolder(folder))
+    common::mesh::start_fleet(name, FleetOptions { count: 1, ..FleetOptions::default() })
 }
 
 /// Sends the head of a request, then `sent` of its body.
--- a/crates/ibisroute/tests/common/mod.rs
+++ b/crates/ibisroute/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod cluster;
 pub(crate) mod fleet;
 pub(crate) mod load;
+pub(crate) mod mesh;
 pub(crate) mod moves;
 pub(crate) mod owner;
 
--- a/crates/ibisroute/tests/endless_answers.rs
+++ b/crates/ibisroute/tests/endless_answers.rs
@@ -1,7 +1,7 @@
 //! Responses of a target that have no end.
 
-use std::path::Path;
-use std::path::PathBuf;
+mod common;
+
 use std::time::Duration;
 
 use standins::mesh::fleet::FleetOptions;
@@ -10,6 +10,8 @@
 use standins::mesh::fleet::READ_PATH;
 use standins::mesh::instance::Behaviour;
 
+use crate::common::mesh::TempFolder;
+
 /// Memory that a node may use, in megabytes.
 const MEMORY_LIMIT_MB: u64 = 64;
 
@@ -22,21 +24,11 @@
 /// Time that a caller waits for a response.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(1_200);
 
-struct TempFolder(PathBuf);
-
-impl Drop for TempFolder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 fn start_fleet(name: &str) -> (MeshFleet, TempFolder) {
-    let folder = std::env::temp_dir().join(format!("ibisroute-{name}-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("the folder for settings is created");
-    let program = Path::new(env!("CARGO_BIN_EXE_ibisrouted"));
-    let options = FleetOptions { memory_limit_mb: MEMORY_LIMIT_MB, ..FleetOptions::default() };
-    let fleet = MeshFleet::start_with(program, &folder, options).expect("the fleet starts");
-    (fleet, TempFolder(folder))
+    common::mesh::start_fleet(
+        name,
+        FleetOptions { memory_limit_mb: MEMORY_LIMIT_MB, ..FleetOptions::default() },
+    )
 }
 
 /// Lets one of two targets respond without an end. Checks that the node beside it stays within its memory,
--- a/crates/ibisroute/tests/mesh_fleet.rs
+++ b/crates/ibisroute/tests/mesh_fleet.rs
@@ -1,15 +1,16 @@
 //! End-to-end tests of real node processes, each next to a stand-in of a target, with a stand-in of the
 //! store of the external platform.
 
+mod common;
+
 use std::io::Write;
 use std::net::TcpStream;
-use std::path::Path;
-use std::path::PathBuf;
 use std::time::Duration;
 use std::time::Instant;
 
 use serde_json::Value;
 use standins::http::Response;
+use standins::mesh::fleet::FleetOptions;
 use standins::mesh::fleet::HOST;
 use standins::mesh::fleet::MeshFleet;
 use standins::mesh::fleet::MeshNode;
@@ -20,6 +21,8 @@
 use standins::mesh::store::StoreFaults;
 use standins::wait;
 
+use crate::common::mesh::TempFolder;
+
 /// Service time of a request at an instance.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 
@@ -42,21 +45,12 @@
 /// Time within which each node has sent its status to the others; statuses are 500 ms apart.
 const STATUS_EXCHANGE: Duration = Duration::from_secs(1);
 
-struct TempFolder(PathBuf);
-
-impl Drop for TempFolder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 /// Starts `count` nodes, each next to an instance; `name` is part of the path of the settings folder.
 fn start_fleet(name: &str, count: usize) -> (MeshFleet, TempFolder) {
-    let folder = std::env::temp_dir().join(format!("ibisroute-{name}-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("the folder for settings is created");
-    let program = Path::new(env!("CARGO_BIN_EXE_ibisrouted"));
-    let fleet = MeshFleet::start(program, &folder, count, SERVICE_TIME).expect("the fleet starts");
-    (fleet, TempFolder(folder))
+    common::mesh::start_fleet(
+        name,
+        FleetOptions { count, service_time: SERVICE_TIME, ..FleetOptions::default() },
+    )
 }
 
 /// Timeout below the service time: a request that fails shows that the configuration is in effect.
--- a/crates/ibisroute/tests/odd_entries.rs
+++ b/crates/ibisroute/tests/odd_entries.rs
@@ -1,7 +1,7 @@
 //! Entries of another writer in the tables and heartbeats that nodes read.
 
-use std::path::Path;
-use std::path::PathBuf;
+mod common;
+
 use std::time::Duration;
 
 use ibisroute::platform::heartbeat;
@@ -11,27 +11,16 @@
 use standins::mesh::fleet::MeshFleet;
 use standins::wait;
 
+use crate::common::mesh::TempFolder;
+
 /// Time within which a node serves again after its restart.
 const RESTART_BOUND: Duration = Duration::from_secs(3);
 
 /// Required maximum time to apply a configuration.
 const APPLY_BOUND: Duration = Duration::from_secs(2);
 
-struct TempFolder(PathBuf);
-
-impl Drop for TempFolder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 fn start_fleet(name: &str) -> (MeshFleet, TempFolder) {
-    let folder = std::env::temp_dir().join(format!("ibisroute-{name}-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("the folder for settings is created");
-    let program = Path::new(env!("CARGO_BIN_EXE_ibisrouted"));
-    let options = FleetOptions { count: 3, ..FleetOptions::default() };
-    let fleet = MeshFleet::start_with(program, &folder, options).expect("the fleet starts");
-    (fleet, TempFolder(folder))
+    common::mesh::start_fleet(name, FleetOptions { count: 3, ..FleetOptions::default() })
 }
 
 fn nested(levels: usize) -> String {
--- a/crates/ibisroute/tests/row_gaps.rs
+++ b/crates/ibisroute/tests/row_gaps.rs
@@ -2,14 +2,14 @@
 
 mod common;
 
-use std::path::Path;
-use std::path::PathBuf;
 use std::time::Duration;
 
 use standins::mesh::fleet::FleetOptions;
 use standins::mesh::fleet::MeshFleet;
 use standins::wait;
 
+use crate::common::mesh::TempFolder;
+
 /// Required maximum time to apply a configuration.
 const APPLY_BOUND: Duration = Duration::from_secs(2);
 
@@ -20,21 +20,8 @@
 /// Rounds of an order and a change.
 const ROUNDS: usize = 12;
 
-struct TempFolder(PathBuf);
-
-impl Drop for TempFolder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 fn start_fleet(name: &str) -> (MeshFleet, TempFolder) {
-    let folder = std::env::temp_dir().join(format!("ibisroute-{name}-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("the folder for settings is created");
-    let program = Path::new(env!("CARGO_BIN_EXE_ibisrouted"));
-    let options = FleetOptions { count: 5, ..FleetOptions::default() };
-    let fleet = MeshFleet::start_with(program, &folder, options).expect("the fleet starts");
-    (fleet, TempFolder(folder))
+    common::mesh::start_fleet(name, FleetOptions { count: 5, ..FleetOptions::default() })
 }
 
 /// Guards against a change of the configuration that only the watchers of the store apply, because the
--- a/crates/ibisroute/tests/status_recovery.rs
+++ b/crates/ibisroute/tests/status_recovery.rs
@@ -1,34 +1,24 @@
 //! What nodes know of each other after a connection or a read of the store has failed.
 
-use std::path::Path;
-use std::path::PathBuf;
+mod common;
+
 use std::time::Duration;
 
+use standins::mesh::fleet::FleetOptions;
 use standins::mesh::fleet::MeshFleet;
 use standins::mesh::fleet::READ_PATH;
 use standins::wait;
 
+use crate::common::mesh::TempFolder;
+
 /// Time within which each node has sent its status to the others; statuses are 500 ms apart.
 const STATUS_EXCHANGE: Duration = Duration::from_secs(1);
 
 /// Required maximum time to apply a configuration when the store answers nothing: twice the usual 2 s.
 const APPLY_BOUND: Duration = Duration::from_secs(4);
 
-struct TempFolder(PathBuf);
-
-impl Drop for TempFolder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 fn start_fleet(name: &str, count: usize) -> (MeshFleet, TempFolder) {
-    let folder = std::env::temp_dir().join(format!("ibisroute-{name}-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("the folder for settings is created");
-    let program = Path::new(env!("CARGO_BIN_EXE_ibisrouted"));
-    let service_time = Duration::from_millis(20);
-    let fleet = MeshFleet::start(program, &folder, count, service_time).expect("the fleet starts");
-    (fleet, TempFolder(folder))
+    common::mesh::start_fleet(name, FleetOptions { count, ..FleetOptions::default() })
 }
 
 /// Guards against a node that forgets a peer with its broken connection and is then told of loads only: it
