Start stopped nodes of the soak in the order of their stops

Cause, from the lists of faults: when the injection ends, the soak ends the pending faults in any order and waits for each stopping node, so a node that had ended stayed down until another one, stopped seconds later, had ended too; by then it counted as undisturbed.

Pending faults end in the order of their due times now; no check changes.

--- a/crates/standins/src/mesh/soak.rs
+++ b/crates/standins/src/mesh/soak.rs
@@ -433,6 +433,8 @@
         let pause_ms = injector.rng.random_range(100..900);
         thread::sleep(Duration::from_millis(pause_ms));
     }
+    // A node that is down counts as disturbed only for a while, so none waits for a later end.
+    pending_ends.sort_by_key(|(due_at, _)| *due_at);
     pending_ends
         .into_iter()
         .try_for_each(|(due_at, action)| end_fault(fleet, injector, monitor, action, due_at))
