--- a/crates/ibisroute/src/mesh/node.rs
+++ b/crates/ibisroute/src/mesh/node.rs
@@ -511,8 +511,9 @@
         }
     }
 
-    /// Requests the rows that this node lacks from the peer to which `reply` leads. At most one request is sent per
-    /// [`ROW_REQUEST_INTERVAL`], over all peers, and none while rows are read from a store that responds.
+    /// Requests the rows that this node lacks from the peer to which `reply` leads. At most one request is
+    /// sent per [`ROW_REQUEST_INTERVAL`], over all peers, and none while rows are read from a store that
+    /// responds.
     fn request_rows(&self, reply: &SendQueue) {
         let now = self.clock.now();
         if self.reading_store.get() && self.store_reached.get() {
--- a/crates/ibisroute/src/mesh/socket.rs
+++ b/crates/ibisroute/src/mesh/socket.rs
@@ -13,9 +13,9 @@
 
 use crate::types::Millis;
 
-/// Time after which a connection between nodes is closed if sent bytes are not acknowledged, or cannot be sent
-/// because the receiver reads nothing. A connection can fail without a reset, and the default limit of the
-/// operating system is many minutes.
+/// Time after which a connection between nodes is closed if sent bytes are not acknowledged, or cannot be
+/// sent because the receiver reads nothing. A connection can fail without a reset, and the default limit
+/// of the operating system is many minutes.
 pub const UNACKNOWLEDGED_TIMEOUT: Millis = Millis(1_500);
 
 /// Idle time before the first keep-alive probe, and between probes.
@@ -33,8 +33,8 @@
     Ok(stream)
 }
 
-/// Connects to a target like [`connect_node`], but without [`UNACKNOWLEDGED_TIMEOUT`]: a target may read a long
-/// body only when it has a free slot, so the deadline of the request limits the wait.
+/// Connects to a target like [`connect_node`], but without [`UNACKNOWLEDGED_TIMEOUT`]: a target may read a
+/// long body only when it has a free slot, so the deadline of the request limits the wait.
 pub async fn connect_target(address: SocketAddr, connect_timeout: Millis) -> io::Result<TcpStream> {
     let stream = connect(address, connect_timeout).await?;
     set_options(&stream)?;
--- a/crates/ibisroute/tests/mesh_fleet.rs
+++ b/crates/ibisroute/tests/mesh_fleet.rs
@@ -478,8 +478,8 @@
     fleet.wait_ended(0, remaining).expect("the process ends within its grace period");
 }
 
-/// Guards against a stopping node that gives up a request because its instance is silent for longer than usual,
-/// although the instance is still at work and answers in time.
+/// Guards against a stopping node that gives up a request because its instance is silent for longer than
+/// usual, although the instance is still at work and answers in time.
 #[test]
 fn stopping_node_waits_for_slow_instances() {
     let (fleet, _folder) = start_fleet("slow-stop", 2);
