Send rows of a table read only to peers that certainly lack them

Cause: since the digest of rows, a node sends each row that it reads to all peers whose digest differs.

Test: operator_rows::known_rows_are_not_sent states the decision.

--- a/crates/ibisroute/src/mesh/node.rs
+++ b/crates/ibisroute/src/mesh/node.rs
@@ -45,6 +45,7 @@
 use super::replicated_rows::ReplicatedRow;
 use super::replicated_rows::ReplicatedRows;
 use super::replicated_rows::RowChange;
+use super::replicated_rows::RowOrigin;
 use super::replicated_rows::RowTable;
 use super::replicated_rows::RowVersion;
 use super::retry_budget::BudgetSettings;
@@ -426,19 +427,20 @@
     }
 
     /// Applies a row from the store, or one that this node has written itself, and sends it to the peers if
-    /// it is new. `origin` appears in the log.
-    pub fn apply_row(self: &Rc<Self>, table: RowTable, row: RowChange, origin: &str) {
+    /// it is new.
+    pub fn apply_row(self: &Rc<Self>, table: RowTable, row: RowChange, origin: RowOrigin) {
         let key = row.key.clone();
         let outcome = self.replicated_rows.borrow_mut().apply(table, row);
-        if self.on_row_applied(outcome, origin) {
-            self.push_row(table, &key);
+        let source = if origin == RowOrigin::OwnWrite { "own write" } else { "store" };
+        if self.on_row_applied(outcome, source) {
+            self.push_row(table, &key, origin);
             self.status_changed.notify_one();
         }
     }
 
     /// Logs the outcome of applying a row and updates the state that depends on the row. Returns whether
-    /// the row is new and valid.
-    fn on_row_applied(self: &Rc<Self>, outcome: ApplyOutcome, origin: &str) -> bool {
+    /// the row is new and valid. `source` appears in the log.
+    fn on_row_applied(self: &Rc<Self>, outcome: ApplyOutcome, source: &str) -> bool {
         match outcome {
             ApplyOutcome::Unchanged => return false,
             ApplyOutcome::Config(table) => {
@@ -448,7 +450,7 @@
                     ("version", table.version.0.into()),
                     ("row", row.0.into()),
                     ("routes", table.routes().len().into()),
-                    ("source", origin.into()),
+                    ("source", source.into()),
                 ];
                 self.log.line(
                     self.clock.now(),
@@ -472,18 +474,17 @@
         true
     }
 
-    /// Sends a row to the peers that, according to their last status, do not have all rows of this node.
-    /// Nodes do not relay the rows that they receive so.
-    fn push_row(&self, table: RowTable, key: &str) {
+    /// Sends a row to the peers that lack it according to their last status. Nodes do not relay the rows that
+    /// they receive so.
+    fn push_row(&self, table: RowTable, key: &str, origin: RowOrigin) {
         let rows = self.replicated_rows.borrow();
-        let own = rows.summary();
         let mut encoded: HashMap<RowVersion, Bytes> = HashMap::new();
         let mut receivers = Vec::new();
         for (name, peer) in self.peers.by_name.borrow().iter() {
             let (Some(link), Some(status)) = (peer.link.as_ref(), peer.status.as_ref()) else {
                 continue;
             };
-            if status.rows == own {
+            if !rows.lacks_row(&status.rows, table, key, origin) {
                 continue;
             }
             let bytes = match encoded.get(&status.rows.config) {
@@ -503,10 +504,11 @@
             link.send_queue.send_encoded(bytes);
             receivers.push(name.clone());
         }
+        let config = rows.config_row_version();
         drop(rows);
         if table == RowTable::Operator && key == CONFIG_KEY {
             for name in receivers {
-                self.peers.record_sent_config(&name, own.config);
+                self.peers.record_sent_config(&name, config);
             }
         }
     }
--- a/crates/ibisroute/src/mesh/replicated_rows.rs
+++ b/crates/ibisroute/src/mesh/replicated_rows.rs
@@ -103,6 +103,17 @@
     }
 }
 
+/// How a node got a row other than from a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RowOrigin {
+    /// From a read of the whole table.
+    TableRead,
+    /// From the store as a change: by a watch or after a conflict.
+    Change,
+    /// The node has written it.
+    OwnWrite,
+}
+
 /// Key and version of a row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionedKey {
@@ -182,7 +193,7 @@
 }
 
 /// Replicated rows of a node.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ReplicatedRows {
     rows: BTreeMap<(RowTable, SmolStr), StoredRow>,
     /// Versions of rows that are held by peers and too long to be sent. They stay here until this node has
@@ -224,6 +235,26 @@
         peer.newest > self.newest || (peer.newest == self.newest && peer.digest != self.digest)
     }
 
+    /// Returns whether a row of this node is to be sent to a peer with the given summary. A change may be
+    /// older than what the peer has of other keys. The rows of a whole table mostly are nothing new, and
+    /// after a restart many nodes read it, so they go only to peers that certainly lack them; others ask.
+    pub fn lacks_row(
+        &self,
+        peer: &RowsSummary,
+        table: RowTable,
+        key: &str,
+        origin: RowOrigin,
+    ) -> bool {
+        let version = self.version(table, key);
+        if table == RowTable::Operator && key == CONFIG_KEY {
+            return peer.config < version;
+        }
+        match origin {
+            RowOrigin::TableRead => peer.newest < version,
+            RowOrigin::Change | RowOrigin::OwnWrite => *peer != self.summary(),
+        }
+    }
+
     /// Returns the keys and versions of all rows.
     pub fn versions(&self) -> Vec<VersionedKey> {
         let versioned = |((table, key), stored): (&(RowTable, SmolStr), &StoredRow)| VersionedKey {
--- a/crates/ibisroute/src/mesh/rollout_driver.rs
+++ b/crates/ibisroute/src/mesh/rollout_driver.rs
@@ -11,6 +11,7 @@
 use super::node::Move;
 use super::node::Node;
 use super::replicated_rows::RowChange;
+use super::replicated_rows::RowOrigin;
 use super::replicated_rows::RowTable;
 use super::replicated_rows::RowVersion;
 use super::rollout::AllowedVersions;
@@ -326,11 +327,15 @@
         let value = row_write.value.clone();
         match self.store.write(row_write).await {
             Ok(WriteOutcome::Committed(version)) => {
-                self.apply_row(RowTable::Status, RowChange { key, version, value }, "own write");
+                self.apply_row(
+                    RowTable::Status,
+                    RowChange { key, version, value },
+                    RowOrigin::OwnWrite,
+                );
             }
             Ok(WriteOutcome::Conflict(rows)) => {
                 for row in rows {
-                    self.apply_row(RowTable::Status, row, "store");
+                    self.apply_row(RowTable::Status, row, RowOrigin::Change);
                 }
             }
             Err(e) => {
--- a/crates/ibisroute/src/mesh/store_watch.rs
+++ b/crates/ibisroute/src/mesh/store_watch.rs
@@ -13,6 +13,7 @@
 use super::frames::NodeDescriptor;
 use super::node::Node;
 use super::replicated_rows::RowChange;
+use super::replicated_rows::RowOrigin;
 use super::replicated_rows::RowTable;
 use super::replicated_rows::RowVersion;
 use super::store::RowWrite;
@@ -169,7 +170,8 @@
     /// Reads the status table and the operator's table.
     async fn read_replicated_tables(self: &Rc<Self>) -> Result<(), PlatformError> {
         let table = RowTable::Status.name();
-        self.read_table(table, |row| self.apply_row(RowTable::Status, row, "store")).await?;
+        self.read_table(table, |row| self.apply_row(RowTable::Status, row, RowOrigin::TableRead))
+            .await?;
         self.read_operator_table().await
     }
 
@@ -177,8 +179,8 @@
     /// misses no change.
     async fn read_operator_table(self: &Rc<Self>) -> Result<(), PlatformError> {
         let table = RowTable::Operator.name();
-        let version =
-            self.read_table(table, |row| self.apply_row(RowTable::Operator, row, "store"));
+        let version = self
+            .read_table(table, |row| self.apply_row(RowTable::Operator, row, RowOrigin::TableRead));
         self.watch_version.set(version.await?);
         self.on_store_success();
         Ok(())
@@ -229,7 +231,7 @@
                 self.on_store_success();
                 let has_changes = !page.rows.is_empty();
                 for row in page.rows {
-                    self.apply_row(RowTable::Operator, row, "store");
+                    self.apply_row(RowTable::Operator, row, RowOrigin::Change);
                 }
                 if has_changes {
                     sleep(cfg.watch_pause.to_duration()).await;
--- a/crates/ibisroute/tests/operator_rows.rs
+++ b/crates/ibisroute/tests/operator_rows.rs
@@ -8,6 +8,7 @@
 use ibisroute::mesh::replicated_rows::ApplyOutcome;
 use ibisroute::mesh::replicated_rows::ReplicatedRows;
 use ibisroute::mesh::replicated_rows::RowChange;
+use ibisroute::mesh::replicated_rows::RowOrigin;
 use ibisroute::mesh::replicated_rows::RowTable;
 use ibisroute::mesh::replicated_rows::RowValue;
 use ibisroute::mesh::replicated_rows::RowVersion;
@@ -260,6 +261,33 @@
     common::quickcheck_with_fixed_seed(500).quickcheck(converge as fn(Vec<(u8, u8)>) -> bool);
 }
 
+/// Guards against a node that reads the tables at its start and sends each row to all peers, which have them:
+/// after a restart of 300 nodes that is the square of their number. A change is sent also to peers that have
+/// a newer row of another key.
+#[test]
+fn known_rows_are_not_sent() {
+    let (mut peer, mut starting) = (ReplicatedRows::default(), ReplicatedRows::default());
+    let request = rollout_request("counter", 2);
+    for rows in [&mut peer, &mut starting] {
+        rows.apply(RowTable::Operator, row("config", 6, &config(2, 3)));
+        rows.apply(RowTable::Operator, row("rollout/counter", 5, &request));
+    }
+    peer.apply(RowTable::Status, row("rollout/counter", 7, r#"{"state":"running","to":"v2"}"#));
+    let is_sent = |rows: &ReplicatedRows, peer: &ReplicatedRows, key, origin| {
+        rows.lacks_row(&peer.summary(), RowTable::Operator, key, origin)
+    };
+    for key in ["config", "rollout/counter"] {
+        assert!(!is_sent(&starting, &peer, key, RowOrigin::TableRead), "{key}");
+        let empty = ReplicatedRows::default();
+        assert!(is_sent(&starting, &empty, key, RowOrigin::TableRead), "{key} to an empty node");
+    }
+    assert!(!is_sent(&starting, &peer, "config", RowOrigin::Change));
+    let mut watcher = peer.clone();
+    let request = rollout_request("archive", 2);
+    watcher.apply(RowTable::Operator, row("rollout/archive", 4, &request));
+    assert!(is_sent(&watcher, &peer, "rollout/archive", RowOrigin::Change));
+}
+
 /// Guards against short rows that are held back by a long one, and against a node that does not read the
 /// long one from the store, or reads it again when it has it.
 #[test]
